--- /dev/null
+++ b/entryd/main.go
@@ -0,0 +1,12 @@
+// Command entryd takes callers' requests and brings them to backend servers.
+package main
+
+import (
+	"os"
+
+	"rosemarygrade.dev/entryd/cmds"
+)
+
+func main() {
+	os.Exit(cmds.Execute(os.Args[1:], os.Stderr))
+}
--- /dev/null
+++ b/entryd/pkg/entry/client.go
@@ -0,0 +1,204 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"io"
+	"time"
+
+	"rosemarygrade.dev/entryd/pkg/flow"
+	"rosemarygrade.dev/entryd/pkg/links"
+	"rosemarygrade.dev/entryd/pkg/owner"
+	"rosemarygrade.dev/entryd/pkg/record"
+	"rosemarygrade.dev/lib/pkg/fault"
+	"rosemarygrade.dev/lib/pkg/model"
+	"rosemarygrade.dev/lib/pkg/peer"
+	"rosemarygrade.dev/lib/pkg/peerpb"
+)
+
+// Connection classes: long answers must not delay short ones, nor either the control calls.
+const (
+	classLive       = "live"
+	classBackground = "background"
+	classControl    = "control"
+)
+
+// Client is safe for concurrent use.
+type Client struct {
+	pool  *peer.Pool
+	links *links.Links
+}
+
+// NewClient returns a client.
+func NewClient(pool *peer.Pool, l *links.Links) *Client { return &Client{pool: pool, links: l} }
+
+func (c *Client) data(p *peerpb.Member, class string) (peerpb.DataClient, error) {
+	conn, err := c.pool.Conn(p.GetPeerAddress(), class)
+	if err != nil {
+		return nil, fault.Wrap("connect", KindPeer, err)
+	}
+	return peerpb.NewDataClient(conn), nil
+}
+
+// Serve sends a request to a peer and passes its answer to the sink.
+func (c *Client) Serve(ctx context.Context, p *peerpb.Member, req *flow.Request, stage peerpb.Stage, sink flow.Sink) flow.Result {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	class, conn := links.Live, classLive
+	if req.Background {
+		class, conn = links.Background, classBackground
+	}
+	client, err := c.data(p, conn)
+	if err != nil {
+		return flow.NotRun(flow.RefusedConnect, err.Error())
+	}
+	stream, err := client.Serve(ctx)
+	if err != nil {
+		// No frame was sent on the stream, so the peer knows nothing of the request.
+		return flow.NotRun(flow.RefusedConnect, err.Error())
+	}
+	s := newSender(stream, path{links: c.links, region: p.GetRegion(), class: class})
+	open := toOpen(time.Now(), req, p.GetIncarnation(), stage)
+	if err := s.small(ctx, &peerpb.Frame{Kind: &peerpb.Frame_Open{Open: open}}, headerBytes(open.GetHeaders())+len(open.GetPath())); err != nil {
+		return flow.Broken{Reason: err.Error()}
+	}
+	sent := make(chan error, 1)
+	if _, all := req.Body.Bytes(); all {
+		sent <- c.finish(ctx, s, stream, req.Body)
+	} else {
+		go func() { sent <- c.finish(ctx, s, stream, req.Body) }()
+	}
+	return receive(stream, req.ID, sink)
+}
+
+func (c *Client) finish(ctx context.Context, s *sender, stream peerpb.Data_ServeClient, b *flow.Body) error {
+	if err := s.body(ctx, b); err != nil {
+		return err
+	}
+	return stream.CloseSend()
+}
+
+// receive passes an answer from frames to the sink.
+func receive(in receiver, id string, sink flow.Sink) flow.Result {
+	f, err := in.Recv()
+	if err != nil {
+		return flow.Broken{Reason: err.Error()}
+	}
+	switch k := f.GetKind().(type) {
+	case *peerpb.Frame_Refusal:
+		return fromRefusal(k.Refusal)
+	case *peerpb.Frame_Head:
+		if k.Head.GetRequestId() != id {
+			return flow.Broken{Reason: "the peer answered another request"}
+		}
+		return receiveBody(in, k.Head, sink)
+	default:
+		return flow.Broken{Reason: "the peer sent an unexpected frame"}
+	}
+}
+
+func receiveBody(in receiver, h *peerpb.Head, sink flow.Sink) flow.Result {
+	head := flow.Head{
+		Status: int(h.GetStatus()), Header: fromHeaders(h.GetHeaders()), Size: h.GetBodyBytes(),
+		Server: h.GetServer(), Load: fromLoad(h.GetLoad()),
+	}
+	body := newBodyReader(in)
+	// The first bytes are awaited before the head is passed, so that an answer that breaks early
+	// can still become an error.
+	first := body.next()
+	if first != nil && !errors.Is(first, io.EOF) {
+		return flow.Broken{Reason: first.Error()}
+	}
+	if err := sink.Head(head); err != nil {
+		return flow.Broken{HeadSent: true, Reason: err.Error()}
+	}
+	for err := first; ; err = body.next() {
+		if errors.Is(err, io.EOF) {
+			return flow.Whole{Load: head.Load}
+		}
+		if err != nil {
+			return flow.Broken{HeadSent: true, Reason: err.Error()}
+		}
+		if serr := sink.Data(body.left); serr != nil {
+			return flow.Broken{HeadSent: true, Reason: serr.Error()}
+		}
+	}
+}
+
+// Void asks the peer that a request was sent to whether it can be kept from running.
+func (c *Client) Void(ctx context.Context, p *peerpb.Member, id string, deadline time.Time) (bool, error) {
+	client, err := c.data(p, classControl)
+	if err != nil {
+		return false, err
+	}
+	resp, err := client.Void(ctx, &peerpb.VoidRequest{
+		RequestId: id, TargetIncarnation: p.GetIncarnation(), DeadlineUnixMillis: deadline.UnixMilli(),
+	})
+	if err != nil {
+		return false, fault.Wrap("void", KindPeer, err)
+	}
+	if resp.GetWrongIncarnation() {
+		return false, fault.New("void", KindPeer, "the process is gone")
+	}
+	return resp.GetVoided(), nil
+}
+
+// Claim implements owner.Claimer.
+func (c *Client) Claim(ctx context.Context, p *peerpb.Member, id model.SiteID) (owner.Claimed, error) {
+	client, err := c.data(p, classControl)
+	if err != nil {
+		return owner.Claimed{}, err
+	}
+	resp, err := client.Claim(ctx, &peerpb.ClaimRequest{Service: id.Service, DataCentre: id.DataCentre})
+	if err != nil {
+		return owner.Claimed{}, fault.Wrap("claim", KindPeer, err)
+	}
+	out := owner.Claimed{Owned: resp.GetOwned()}
+	for _, s := range resp.GetServers() {
+		out.Servers = append(out.Servers, owner.ServerLoad{Address: s.GetAddress(), InFlight: int(s.GetInFlight())})
+	}
+	return out, nil
+}
+
+// Outcome asks a peer what it knows of a key.
+func (c *Client) Outcome(ctx context.Context, p *peerpb.Member, key string) (record.Known, error) {
+	client, err := c.data(p, classControl)
+	if err != nil {
+		return record.Known{}, err
+	}
+	resp, err := client.Outcome(ctx, &peerpb.OutcomeRequest{Key: key})
+	if err != nil {
+		return record.Known{}, fault.Wrap("outcome", KindPeer, err)
+	}
+	return record.Known{Outcome: flow.Outcome(resp.GetOutcome()), Answer: record.Answer{
+		Status: int(resp.GetStatus()), Header: fromHeaders(resp.GetHeaders()), Body: resp.GetBody(), Kept: resp.GetBodyKept(),
+	}}, nil
+}
+
+// inheritPiece is how many records one message carries.
+const inheritPiece = 200
+
+// Inherit passes a stopped process's records to a peer, in pieces.
+func (c *Client) Inherit(ctx context.Context, p *peerpb.Member, book *peerpb.InheritRequest) error {
+	client, err := c.data(p, classControl)
+	if err != nil {
+		return err
+	}
+	records := book.GetRecords()
+	for {
+		n := min(inheritPiece, len(records))
+		piece := &peerpb.InheritRequest{
+			Incarnation: book.GetIncarnation(), LowestSlot: book.GetLowestSlot(),
+			Records: records[:n], Complete: n == len(records),
+		}
+		if _, err := client.Inherit(ctx, piece); err != nil {
+			return fault.Wrap("inherit", KindPeer, err)
+		}
+		if piece.GetComplete() {
+			return nil
+		}
+		records = records[n:]
+	}
+}
+
+var _ owner.Claimer = (*Client)(nil)
--- /dev/null
+++ b/entryd/pkg/proxy/trace.go
@@ -0,0 +1,109 @@
+package proxy
+
+import (
+	"sync"
+	"time"
+
+	"rosemarygrade.dev/entryd/pkg/flow"
+	"rosemarygrade.dev/entryd/pkg/place"
+)
+
+// maxTraces is how many recent requests are remembered.
+const maxTraces = 2048
+
+// Step is one site that a request was offered to.
+type Step struct {
+	Site   string `json:"site"`
+	Rule   string `json:"rule"`
+	Result string `json:"result"`
+	Detail string `json:"detail,omitempty"`
+}
+
+// Trace tells which rule placed a request where, and which limit held it back.
+type Trace struct {
+	mu      sync.Mutex
+	id      string
+	service string
+	method  string
+	path    string
+	begin   time.Time
+	took    time.Duration
+	outcome flow.Outcome
+	steps   []Step
+}
+
+// Explanation is a trace as operators see it.
+type Explanation struct {
+	RequestID  string       `json:"requestId"`
+	Service    string       `json:"service"`
+	Method     string       `json:"method"`
+	Path       string       `json:"path"`
+	Begin      time.Time    `json:"begin"`
+	TookMicros int64        `json:"tookMicros"`
+	Outcome    flow.Outcome `json:"outcome"`
+	Steps      []Step       `json:"steps"`
+}
+
+// Add notes one offer.
+func (t *Trace) Add(c place.Choice, detail, result string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.steps = append(t.steps, Step{Site: c.Site.ID().String(), Rule: c.Why, Result: result, Detail: detail})
+}
+
+// End notes how the request ended.
+func (t *Trace) End(now time.Time, res flow.Result) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.took = now.Sub(t.begin)
+	switch r := res.(type) {
+	case flow.Whole:
+		t.outcome = flow.OutcomeFull
+	case flow.Refused:
+		t.outcome = r.Outcome
+	default:
+		t.outcome = flow.OutcomeUnknown
+	}
+}
+
+// Explain returns what an operator is shown.
+func (t *Trace) Explain() Explanation {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return Explanation{
+		RequestID: t.id, Service: t.service, Method: t.method, Path: t.path, Begin: t.begin,
+		TookMicros: t.took.Microseconds(), Outcome: t.outcome, Steps: append([]Step(nil), t.steps...),
+	}
+}
+
+// Traces is a ring of recent requests. It is safe for concurrent use.
+type Traces struct {
+	mu   sync.Mutex
+	ring [maxTraces]*Trace
+	next int
+}
+
+// NewTraces returns an empty ring.
+func NewTraces() *Traces { return &Traces{} }
+
+// Begin adds a request.
+func (r *Traces) Begin(now time.Time, req *flow.Request) *Trace {
+	t := &Trace{id: req.ID, service: req.Service, method: req.Method, path: req.Path, begin: now}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.ring[r.next] = t
+	r.next = (r.next + 1) % maxTraces
+	return t
+}
+
+// Find returns the request of that id, if it is still remembered.
+func (r *Traces) Find(id string) (Explanation, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, t := range r.ring {
+		if t != nil && t.id == id {
+			return t.Explain(), true
+		}
+	}
+	return Explanation{}, false
+}
--- /dev/null
+++ b/lib/pkg/config/config.go
@@ -0,0 +1,107 @@
+// Package config loads the JSON settings of a process and checks every field before anything starts.
+package config
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net/netip"
+	"os"
+	"regexp"
+	"time"
+
+	"rosemarygrade.dev/lib/pkg/fault"
+)
+
+// Kind is the kind of a settings error.
+type Kind string
+
+// Kinds of errors.
+const (
+	KindRead   Kind = "read"
+	KindSyntax Kind = "syntax"
+	KindField  Kind = "field"
+)
+
+// Error is the error type of the package.
+type Error = fault.Error[Kind]
+
+// Settings is what a process's settings type checks of itself.
+type Settings interface {
+	// Check returns the first field that is wrong.
+	Check() error
+}
+
+// Load reads a file into s, which holds the defaults, and checks it.
+func Load(path string, s Settings) error {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return fault.Wrap("settings", KindRead, err)
+	}
+	return Decode(data, s)
+}
+
+// Decode reads JSON into s and checks it.
+func Decode(data []byte, s Settings) error {
+	dec := json.NewDecoder(bytes.NewReader(data))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(s); err != nil {
+		return fault.Wrap("settings", KindSyntax, err)
+	}
+	return s.Check()
+}
+
+// Field returns the error for a field that is wrong.
+func Field(name, reason string) error {
+	return fault.New("settings", KindField, name+": "+reason)
+}
+
+var nameRule = regexp.MustCompile(`^[a-z0-9][a-z0-9.-]{0,62}$`)
+
+// Checker collects the first error of a row of checks.
+type Checker struct{ err error }
+
+// Err returns the first error.
+func (c *Checker) Err() error { return c.err }
+
+func (c *Checker) fail(name, reason string) {
+	if c.err == nil {
+		c.err = Field(name, reason)
+	}
+}
+
+// Name checks that value is a name.
+func (c *Checker) Name(field, value string) {
+	if !nameRule.MatchString(value) {
+		c.fail(field, "must be 1 to 63 of a-z, 0-9, dot and hyphen")
+	}
+}
+
+// Address checks that value is IP:port.
+func (c *Checker) Address(field, value string) {
+	if _, err := netip.ParseAddrPort(value); err != nil {
+		c.fail(field, fmt.Sprintf("%q must be IP:port", value))
+	}
+}
+
+// Addresses checks that every value is IP:port.
+func (c *Checker) Addresses(field string, values []string) {
+	for i, v := range values {
+		c.Address(fmt.Sprintf("%s[%d]", field, i), v)
+	}
+}
+
+// Millis checks that a number of milliseconds is within limits.
+func (c *Checker) Millis(field string, value, lowest, highest int) {
+	c.Range(field, value, lowest, highest)
+}
+
+// Range checks that a number is within limits.
+func (c *Checker) Range(field string, value, lowest, highest int) {
+	if value < lowest || value > highest {
+		c.fail(field, fmt.Sprintf("%d must be %d to %d", value, lowest, highest))
+	}
+}
+
+// Millis turns a number of milliseconds into a duration.
+func Millis(n int) time.Duration { return time.Duration(n) * time.Millisecond }
--- /dev/null
+++ b/lib/pkg/member/member.go
@@ -0,0 +1,339 @@
+// Package member keeps a process's view of who is alive: direct beats inside its data centre,
+// and one summary for each other data centre.
+package member
+
+import (
+	"cmp"
+	"encoding/binary"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"google.golang.org/protobuf/proto"
+
+	"rosemarygrade.dev/lib/pkg/peerpb"
+)
+
+// Timing says when a silent member counts as dead.
+type Timing struct {
+	// Dead is how long a member of the own data centre may be silent.
+	Dead time.Duration
+	// CentreDead is how long the summary of another data centre stays believed.
+	CentreDead time.Duration
+}
+
+// forgetAfter is how many times Timing.Dead a dead member is remembered, so that the
+// late word of a peer does not bring it back.
+const forgetAfter = 20
+
+type item struct {
+	member   *peerpb.Member
+	advanced time.Time
+}
+
+type centre struct {
+	summary  *peerpb.Centre
+	advanced time.Time
+}
+
+// Table is not safe for concurrent use.
+type Table struct {
+	dataCentre string
+	timing     Timing
+	items      map[uint64]*item
+	centres    map[string]*centre
+	version    uint64
+}
+
+// New returns a table for a process in the data centre.
+func New(dataCentre string, timing Timing) *Table {
+	return &Table{
+		dataCentre: dataCentre, timing: timing,
+		items: map[uint64]*item{}, centres: map[string]*centre{},
+	}
+}
+
+// Version counts the changes of what Live returns, other than by the passing of time.
+func (t *Table) Version() uint64 { return t.version }
+
+// Observe takes in what a member of the own data centre says of itself.
+func (t *Table) Observe(now time.Time, m *peerpb.Member) {
+	if m.GetDataCentre() != t.dataCentre || m.GetIncarnation() == 0 {
+		return
+	}
+	it := t.items[m.GetIncarnation()]
+	if it == nil {
+		t.items[m.GetIncarnation()] = &item{member: proto.CloneOf(m), advanced: now}
+		t.version++
+		return
+	}
+	if m.GetSeq() > it.member.GetSeq() {
+		t.advance(now, it, m.GetSeq())
+	}
+	if m.GetRevision() > it.member.GetRevision() {
+		seq := max(it.member.GetSeq(), m.GetSeq())
+		it.member = proto.CloneOf(m)
+		it.member.Seq = seq
+		t.version++
+	}
+}
+
+func (t *Table) advance(now time.Time, it *item, seq uint64) {
+	if now.Sub(it.advanced) >= t.timing.Dead {
+		t.version++
+	}
+	it.member.Seq = seq
+	it.advanced = now
+}
+
+// Beats is the short form of members: three columns of equal length.
+type Beats struct {
+	Incarnations []uint64
+	Seqs         []uint64
+	Revisions    []uint64
+}
+
+// Beats returns the short form of the live members of the own data centre.
+func (t *Table) Beats(now time.Time) Beats {
+	var b Beats
+	for inc, it := range t.items {
+		if !t.alive(now, it) {
+			continue
+		}
+		b.Incarnations = append(b.Incarnations, inc)
+		b.Seqs = append(b.Seqs, it.member.GetSeq())
+		b.Revisions = append(b.Revisions, it.member.GetRevision())
+	}
+	return b
+}
+
+// Merge takes in a peer's beats. It returns the incarnations whose full record is needed here,
+// and the full records that the peer lacks.
+func (t *Table) Merge(now time.Time, b Beats) (wanted []uint64, lacking []*peerpb.Member) {
+	if len(b.Seqs) != len(b.Incarnations) || len(b.Revisions) != len(b.Incarnations) {
+		return nil, nil
+	}
+	peer := make(map[uint64]uint64, len(b.Incarnations))
+	for i, inc := range b.Incarnations {
+		peer[inc] = b.Revisions[i]
+		it := t.items[inc]
+		if it == nil {
+			wanted = append(wanted, inc)
+			continue
+		}
+		if b.Seqs[i] > it.member.GetSeq() {
+			t.advance(now, it, b.Seqs[i])
+		}
+		if b.Revisions[i] > it.member.GetRevision() {
+			wanted = append(wanted, inc)
+		}
+	}
+	for inc, it := range t.items {
+		rev, known := peer[inc]
+		if t.alive(now, it) && (!known || rev < it.member.GetRevision()) {
+			lacking = append(lacking, proto.CloneOf(it.member))
+		}
+	}
+	return wanted, lacking
+}
+
+// Records returns the full records of the incarnations.
+func (t *Table) Records(incarnations []uint64) []*peerpb.Member {
+	var out []*peerpb.Member
+	for _, inc := range incarnations {
+		if it := t.items[inc]; it != nil {
+			out = append(out, proto.CloneOf(it.member))
+		}
+	}
+	return out
+}
+
+func (t *Table) alive(now time.Time, it *item) bool {
+	return now.Sub(it.advanced) < t.timing.Dead
+}
+
+// Expire forgets members that are long dead.
+func (t *Table) Expire(now time.Time) {
+	for inc, it := range t.items {
+		if now.Sub(it.advanced) > forgetAfter*t.timing.Dead {
+			delete(t.items, inc)
+		}
+	}
+}
+
+// LocalLive returns the live members of the own data centre, sorted by host and role. Where
+// two incarnations of a process seem alive, only the one heard last counts.
+func (t *Table) LocalLive(now time.Time) []*peerpb.Member {
+	type slot struct {
+		host string
+		role peerpb.Role
+	}
+	newest := map[slot]*item{}
+	for _, it := range t.items {
+		if !t.alive(now, it) {
+			continue
+		}
+		k := slot{host: it.member.GetHost(), role: it.member.GetRole()}
+		if n := newest[k]; n == nil || later(it, n) {
+			newest[k] = it
+		}
+	}
+	out := make([]*peerpb.Member, 0, len(newest))
+	for _, it := range newest {
+		out = append(out, it.member)
+	}
+	sortMembers(out)
+	return out
+}
+
+func later(a, b *item) bool {
+	if !a.advanced.Equal(b.advanced) {
+		return a.advanced.After(b.advanced)
+	}
+	return a.member.GetIncarnation() > b.member.GetIncarnation()
+}
+
+func sortMembers(m []*peerpb.Member) {
+	slices.SortFunc(m, func(a, b *peerpb.Member) int {
+		return cmp.Or(cmp.Compare(a.GetHost(), b.GetHost()), cmp.Compare(a.GetRole(), b.GetRole()))
+	})
+}
+
+// Live returns every live member, those of other data centres from their summaries. The
+// members are shared: callers do not change them.
+func (t *Table) Live(now time.Time) []*peerpb.Member {
+	out := t.LocalLive(now)
+	for dc, c := range t.centres {
+		if dc != t.dataCentre && now.Sub(c.advanced) < t.timing.CentreDead {
+			out = append(out, c.summary.GetMembers()...)
+		}
+	}
+	sortMembers(out)
+	return out
+}
+
+// Summarize makes the own data centre's summary with a stamp above every stamp seen.
+func (t *Table) Summarize(now time.Time, configHash uint64) *peerpb.Centre {
+	live := t.LocalLive(now)
+	c := &peerpb.Centre{
+		DataCentre: t.dataCentre, Stamp: 1, Hash: membersHash(live),
+		ConfigHash: configHash, Total: uint32(len(live)),
+	}
+	for _, m := range live {
+		short := proto.CloneOf(m)
+		short.Seq, short.ConfigHash, short.Holds = 0, 0, nil
+		c.Members = append(c.Members, short)
+		if m.GetConfigHash() == configHash {
+			c.InForce++
+		}
+		c.Holds = append(c.Holds, m.GetHolds()...)
+	}
+	if old := t.centres[t.dataCentre]; old != nil {
+		c.Stamp = old.summary.GetStamp() + 1
+	}
+	t.centres[t.dataCentre] = &centre{summary: c, advanced: now}
+	return c
+}
+
+// membersHash covers what other data centres need to know of members.
+func membersHash(members []*peerpb.Member) uint64 {
+	d := xxhash.New()
+	for _, m := range members {
+		var b [9]byte
+		binary.LittleEndian.PutUint64(b[:], m.GetIncarnation())
+		if m.GetLeaving() {
+			b[8] = 1
+		}
+		_, _ = d.Write(b[:])
+	}
+	return d.Sum64()
+}
+
+// Summaries returns the summaries without their members.
+func (t *Table) Summaries(now time.Time) []*peerpb.Centre {
+	var out []*peerpb.Centre
+	for _, c := range t.centres {
+		if now.Sub(c.advanced) >= t.timing.CentreDead {
+			continue
+		}
+		short := shallow(c.summary)
+		short.Members = nil
+		out = append(out, short)
+	}
+	return out
+}
+
+func shallow(c *peerpb.Centre) *peerpb.Centre {
+	return &peerpb.Centre{
+		DataCentre: c.GetDataCentre(), Stamp: c.GetStamp(), Hash: c.GetHash(), Members: c.GetMembers(),
+		ConfigHash: c.GetConfigHash(), InForce: c.GetInForce(), Total: c.GetTotal(), Holds: c.GetHolds(),
+	}
+}
+
+// Full returns the summaries of the data centres with their members.
+func (t *Table) Full(names []string) []*peerpb.Centre {
+	var out []*peerpb.Centre
+	for _, n := range names {
+		if c := t.centres[n]; c != nil {
+			out = append(out, shallow(c.summary))
+		}
+	}
+	return out
+}
+
+// MergeCentres takes in summaries and returns the data centres whose members are needed.
+func (t *Table) MergeCentres(now time.Time, summaries []*peerpb.Centre) (wanted []string) {
+	for _, s := range summaries {
+		old := t.centres[s.GetDataCentre()]
+		if old != nil && s.GetStamp() <= old.summary.GetStamp() {
+			continue
+		}
+		if s.GetDataCentre() == t.dataCentre {
+			// The summary is kept only so that the next own stamp is above it.
+			t.centres[t.dataCentre] = &centre{summary: s, advanced: now}
+			continue
+		}
+		next := shallow(s)
+		switch {
+		case len(s.GetMembers()) > 0:
+			t.version++
+		case old != nil && old.summary.GetHash() == s.GetHash():
+			next.Members = old.summary.GetMembers()
+		default:
+			wanted = append(wanted, s.GetDataCentre())
+			continue
+		}
+		t.centres[s.GetDataCentre()] = &centre{summary: next, advanced: now}
+	}
+	return wanted
+}
+
+// Census sums what the summaries tell of the configuration with that hash.
+func (t *Table) Census(now time.Time, configHash uint64) (inForce, known int, holds map[string]int) {
+	holds = map[string]int{}
+	local := t.LocalLive(now)
+	for _, m := range local {
+		known++
+		if m.GetConfigHash() == configHash {
+			inForce++
+		}
+		addHolds(holds, m.GetHolds())
+	}
+	for dc, c := range t.centres {
+		if dc == t.dataCentre || now.Sub(c.advanced) >= t.timing.CentreDead {
+			continue
+		}
+		known += int(c.summary.GetTotal())
+		if c.summary.GetConfigHash() == configHash {
+			inForce += int(c.summary.GetInForce())
+		}
+		addHolds(holds, c.summary.GetHolds())
+	}
+	return inForce, known, holds
+}
+
+func addHolds(sum map[string]int, holds []*peerpb.Hold) {
+	for _, h := range holds {
+		sum[h.GetKind()+"/"+h.GetName()] += int(h.GetInFlight())
+	}
+}
--- /dev/null
+++ b/lib/pkg/peer/peer.go
@@ -0,0 +1,110 @@
+// Package peer keeps the gRPC connections between the system's own processes.
+package peer
+
+import (
+	"sync"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/backoff"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/keepalive"
+
+	"rosemarygrade.dev/lib/pkg/fault"
+)
+
+// Kind is the kind of a connection error.
+type Kind string
+
+// KindAddress means that the address can't be used.
+const KindAddress Kind = "address"
+
+// Error is the error type of the package.
+type Error = fault.Error[Kind]
+
+// Sizes and times of a connection.
+const (
+	windowBytes      = 4 << 20
+	maxMessageBytes  = 16 << 20
+	keepaliveTime    = 10 * time.Second
+	keepaliveTimeout = 3 * time.Second
+	minKeepalive     = 5 * time.Second
+	reconnectFirst   = 100 * time.Millisecond
+	reconnectMax     = 2 * time.Second
+	reconnectGrowth  = 1.6
+	reconnectJitter  = 0.2
+	connectTimeout   = 2 * time.Second
+)
+
+// Pool holds one connection for each address and class, and is safe for concurrent use. Classes
+// keep long answers from delaying short ones on the same connection.
+type Pool struct {
+	mu    sync.Mutex
+	conns map[poolKey]*grpc.ClientConn
+}
+
+type poolKey struct {
+	address string
+	class   string
+}
+
+// NewPool returns an empty pool.
+func NewPool() *Pool { return &Pool{conns: map[poolKey]*grpc.ClientConn{}} }
+
+// Conn returns the connection of the class to an address. It connects when it is first used.
+func (p *Pool) Conn(address, class string) (*grpc.ClientConn, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	key := poolKey{address: address, class: class}
+	if c := p.conns[key]; c != nil {
+		return c, nil
+	}
+	c, err := grpc.NewClient("passthrough:///"+address, dialOptions()...)
+	if err != nil {
+		return nil, fault.Wrap("connect", KindAddress, err)
+	}
+	p.conns[key] = c
+	return c, nil
+}
+
+func dialOptions() []grpc.DialOption {
+	return []grpc.DialOption{
+		grpc.WithTransportCredentials(insecure.NewCredentials()),
+		grpc.WithNoProxy(),
+		grpc.WithDisableServiceConfig(),
+		grpc.WithDisableRetry(),
+		grpc.WithInitialWindowSize(windowBytes),
+		grpc.WithInitialConnWindowSize(windowBytes),
+		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessageBytes)),
+		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: keepaliveTime, Timeout: keepaliveTimeout}),
+		grpc.WithConnectParams(grpc.ConnectParams{
+			Backoff:           backoff.Config{BaseDelay: reconnectFirst, Multiplier: reconnectGrowth, Jitter: reconnectJitter, MaxDelay: reconnectMax},
+			MinConnectTimeout: connectTimeout,
+		}),
+	}
+}
+
+// Keep closes the connections to addresses that are not in the set.
+func (p *Pool) Keep(addresses map[string]bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for k, c := range p.conns {
+		if !addresses[k.address] {
+			_ = c.Close()
+			delete(p.conns, k)
+		}
+	}
+}
+
+// Close closes every connection.
+func (p *Pool) Close() { p.Keep(nil) }
+
+// NewServer returns a gRPC server with the limits that the pool's clients expect.
+func NewServer() *grpc.Server {
+	return grpc.NewServer(
+		grpc.InitialWindowSize(windowBytes),
+		grpc.InitialConnWindowSize(windowBytes),
+		grpc.MaxRecvMsgSize(maxMessageBytes),
+		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: minKeepalive, PermitWithoutStream: true}),
+	)
+}
--- /dev/null
+++ b/lib/pkg/plat/plat.go
@@ -0,0 +1,258 @@
+// Package plat talks to the platform's object API.
+package plat
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/google/uuid"
+	"golang.org/x/time/rate"
+
+	"rosemarygrade.dev/lib/pkg/fault"
+	"rosemarygrade.dev/lib/pkg/wire"
+)
+
+// Kind is the kind of a platform error.
+type Kind string
+
+// Kinds of errors.
+const (
+	// KindUnavailable means that the platform did not answer.
+	KindUnavailable Kind = "unavailable"
+	// KindConflict means that another write came first.
+	KindConflict Kind = "conflict"
+	// KindNotFound means that there is no such object.
+	KindNotFound Kind = "notFound"
+	// KindTooOld means that a watch must start again from a list.
+	KindTooOld Kind = "tooOld"
+	// KindRefused means that the platform refused the call.
+	KindRefused Kind = "refused"
+	// KindLost means that a write's answer was lost and its effect could not be read back.
+	KindLost Kind = "lost"
+)
+
+// Error is the error type of the package.
+type Error = fault.Error[Kind]
+
+// Listing is all objects at a revision, or the changes since an earlier one.
+type Listing struct {
+	Revision uint64        `json:"revision"`
+	Objects  []wire.Object `json:"objects"`
+}
+
+// Client is what the system needs of the platform.
+type Client interface {
+	// List returns every object, deleted ones included while the platform remembers them.
+	List(ctx context.Context) (Listing, error)
+	// Watch waits until something changed after the revision, or until wait has passed.
+	Watch(ctx context.Context, since uint64, wait time.Duration) (Listing, error)
+	// Get returns one object.
+	Get(ctx context.Context, kind, name string) (wire.Object, error)
+	// Put writes an object's spec if its version is still ifVersion; 0 means that it is new.
+	Put(ctx context.Context, o wire.Object, ifVersion uint64) (wire.Object, error)
+	// Delete deletes an object if its version is still ifVersion.
+	Delete(ctx context.Context, kind, name string, ifVersion uint64) (wire.Object, error)
+	// PutStatus writes an object's status if the status version is still ifVersion.
+	PutStatus(ctx context.Context, kind, name string, status wire.Status, ifVersion uint64) error
+	// Hosts returns the platform's list of live and leaving hosts, which lags.
+	Hosts(ctx context.Context) (wire.HostList, error)
+}
+
+// Limits of one client.
+const (
+	callsPerSecond = 50
+	callsBurst     = 100
+	callTimeout    = 5 * time.Second
+	maxAnswer      = 64 << 20
+	readBackTries  = 3
+	readBackPause  = 200 * time.Millisecond
+)
+
+// HTTP is the client of the object API over HTTP. It is safe for concurrent use.
+type HTTP struct {
+	base   string
+	client *http.Client
+	budget *rate.Limiter
+}
+
+// NewHTTP returns a client for the platform at an IP:port.
+func NewHTTP(address string) *HTTP {
+	return &HTTP{
+		base:   "http://" + address + "/v1",
+		client: &http.Client{},
+		budget: rate.NewLimiter(callsPerSecond, callsBurst),
+	}
+}
+
+var _ Client = (*HTTP)(nil)
+
+// List implements Client.
+func (c *HTTP) List(ctx context.Context) (Listing, error) {
+	var l Listing
+	err := c.call(ctx, callTimeout, http.MethodGet, "/objects", nil, &l)
+	return l, err
+}
+
+// Watch implements Client.
+func (c *HTTP) Watch(ctx context.Context, since uint64, wait time.Duration) (Listing, error) {
+	var l Listing
+	path := fmt.Sprintf("/watch?since=%d&waitMillis=%d", since, wait.Milliseconds())
+	err := c.call(ctx, wait+callTimeout, http.MethodGet, path, nil, &l)
+	return l, err
+}
+
+// Get implements Client.
+func (c *HTTP) Get(ctx context.Context, kind, name string) (wire.Object, error) {
+	var o wire.Object
+	err := c.call(ctx, callTimeout, http.MethodGet, objectPath(kind, name), nil, &o)
+	return o, err
+}
+
+// Put implements Client. A write whose answer was lost is read back and recognized by its write id.
+func (c *HTTP) Put(ctx context.Context, o wire.Object, ifVersion uint64) (wire.Object, error) {
+	o.WriteID = uuid.NewString()
+	return c.write(ctx, http.MethodPut, o, ifVersion)
+}
+
+// Delete implements Client.
+func (c *HTTP) Delete(ctx context.Context, kind, name string, ifVersion uint64) (wire.Object, error) {
+	o := wire.Object{Kind: kind, Name: name, WriteID: uuid.NewString()}
+	return c.write(ctx, http.MethodDelete, o, ifVersion)
+}
+
+func (c *HTTP) write(ctx context.Context, method string, o wire.Object, ifVersion uint64) (wire.Object, error) {
+	var out wire.Object
+	path := objectPath(o.Kind, o.Name) + "?ifVersion=" + strconv.FormatUint(ifVersion, 10)
+	err := c.call(ctx, callTimeout, method, path, o, &out)
+	if fault.KindOf[Kind](err) != KindUnavailable {
+		return out, err
+	}
+	return c.readBack(ctx, o, ifVersion, err)
+}
+
+// readBack finds out whether a write whose answer was lost took effect.
+func (c *HTTP) readBack(ctx context.Context, o wire.Object, ifVersion uint64, cause error) (wire.Object, error) {
+	for range readBackTries {
+		got, err := c.Get(ctx, o.Kind, o.Name)
+		switch {
+		case err == nil && got.WriteID == o.WriteID:
+			return got, nil
+		case err == nil && got.Version > ifVersion:
+			return got, fault.New("write", KindLost, fmt.Sprintf(
+				"answer lost; version %d by another write stands now", got.Version))
+		case err == nil, fault.KindOf[Kind](err) == KindNotFound:
+			return got, fault.Wrap("write", KindUnavailable, cause)
+		}
+		if !pause(ctx, readBackPause) {
+			break
+		}
+	}
+	return wire.Object{}, fault.Wrap("write", KindLost, cause)
+}
+
+func pause(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// PutStatus implements Client.
+func (c *HTTP) PutStatus(ctx context.Context, kind, name string, status wire.Status, ifVersion uint64) error {
+	path := fmt.Sprintf("/status/%s/%s?ifVersion=%d", url.PathEscape(kind), url.PathEscape(name), ifVersion)
+	return c.call(ctx, callTimeout, http.MethodPut, path, status, nil)
+}
+
+// Hosts implements Client.
+func (c *HTTP) Hosts(ctx context.Context) (wire.HostList, error) {
+	var out wire.HostList
+	err := c.call(ctx, callTimeout, http.MethodGet, "/hosts", nil, &out)
+	return out, err
+}
+
+func objectPath(kind, name string) string {
+	return "/objects/" + url.PathEscape(kind) + "/" + url.PathEscape(name)
+}
+
+func (c *HTTP) call(ctx context.Context, timeout time.Duration, method, path string, in, out any) error {
+	op := method + " " + path
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	if err := c.budget.Wait(ctx); err != nil {
+		return fault.Wrap(op, KindUnavailable, err)
+	}
+	body, err := encode(in)
+	if err != nil {
+		return fault.Wrap(op, KindRefused, err)
+	}
+	req, err := http.NewRequestWithContext(ctx, method, c.base+path, body)
+	if err != nil {
+		return fault.Wrap(op, KindRefused, err)
+	}
+	resp, err := c.client.Do(req)
+	if err != nil {
+		return fault.Wrap(op, KindUnavailable, err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
+	if err != nil {
+		return fault.Wrap(op, KindUnavailable, err)
+	}
+	if err := statusError(op, resp.StatusCode, data); err != nil {
+		return err
+	}
+	if out == nil {
+		return nil
+	}
+	if err := json.Unmarshal(data, out); err != nil {
+		return fault.Wrap(op, KindUnavailable, err)
+	}
+	return nil
+}
+
+func encode(in any) (io.Reader, error) {
+	if in == nil {
+		return http.NoBody, nil
+	}
+	data, err := json.Marshal(in)
+	if err != nil {
+		return nil, err
+	}
+	return bytes.NewReader(data), nil
+}
+
+func statusError(op string, status int, body []byte) error {
+	msg := string(bytes.TrimSpace(body))
+	switch {
+	case status < http.StatusMultipleChoices:
+		return nil
+	case status == http.StatusNotFound:
+		return fault.New(op, KindNotFound, msg)
+	case status == http.StatusConflict:
+		return fault.New(op, KindConflict, msg)
+	case status == http.StatusGone:
+		return fault.New(op, KindTooOld, msg)
+	case status >= http.StatusInternalServerError:
+		return fault.New(op, KindUnavailable, msg)
+	default:
+		return fault.New(op, KindRefused, msg)
+	}
+}
+
+// Is tells whether err is a platform error of the kind.
+func Is(err error, kind Kind) bool {
+	var e *Error
+	return errors.As(err, &e) && e.Kind() == kind
+}
--- /dev/null
+++ b/lib/pkg/rank/rank.go
@@ -0,0 +1,54 @@
+// Package rank orders candidates for a role by rendezvous hashing, so that every process finds
+// the same holder from the same list and few holders change when the list does.
+package rank
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Score returns the weight of a candidate for a role.
+func Score(role, candidate string) uint64 {
+	d := xxhash.New()
+	_, _ = d.WriteString(role)
+	_, _ = d.WriteString("\x00")
+	_, _ = d.WriteString(candidate)
+	return d.Sum64()
+}
+
+// Order returns the candidates, the holder of the role first.
+func Order[T any](role string, candidates []T, name func(T) string) []T {
+	type scored struct {
+		score uint64
+		name  string
+		value T
+	}
+	list := make([]scored, 0, len(candidates))
+	for _, c := range candidates {
+		n := name(c)
+		list = append(list, scored{score: Score(role, n), name: n, value: c})
+	}
+	slices.SortFunc(list, func(a, b scored) int {
+		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.name, b.name))
+	})
+	out := make([]T, 0, len(list))
+	for _, s := range list {
+		out = append(out, s.value)
+	}
+	return out
+}
+
+// Within tells whether self is among the first n holders of the role.
+func Within[T any](role string, n int, candidates []T, name func(T) string, self string) bool {
+	for i, c := range Order(role, candidates, name) {
+		if i >= n {
+			return false
+		}
+		if name(c) == self {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/rosectl/cmds/cmds.go
@@ -0,0 +1,129 @@
+// Package cmds is the command line of rosectl.
+package cmds
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os/signal"
+	"slices"
+	"syscall"
+
+	"github.com/spf13/cobra"
+
+	"rosemarygrade.dev/lib/pkg/config"
+	"rosemarygrade.dev/lib/pkg/plat"
+	"rosemarygrade.dev/rosectl/pkg/files"
+	"rosemarygrade.dev/rosectl/pkg/output"
+)
+
+// Exit codes.
+const (
+	exitOK       = 0
+	exitFailed   = 1
+	exitUsage    = 2
+	exitInvalid  = 3
+	exitConflict = 4
+	exitNotFound = 5
+	exitNotDone  = 6
+)
+
+const exitHelp = `Exit codes: 0 done, 1 the platform or a process did not answer, 2 wrong usage, 3 an object is
+invalid, 4 another write came first, 5 no such object or request, 6 not done in time.`
+
+// tool is what the commands share.
+type tool struct {
+	platform string
+	format   string
+	in       io.Reader
+}
+
+func (t *tool) client() plat.Client { return plat.NewHTTP(t.platform) }
+
+// Execute runs the command line and returns its exit code.
+func Execute(args []string, out, errs io.Writer) int {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	cmd := Command()
+	cmd.SetArgs(args)
+	cmd.SetOut(out)
+	cmd.SetErr(errs)
+	err := cmd.ExecuteContext(ctx)
+	if err == nil {
+		return exitOK
+	}
+	_, _ = fmt.Fprintf(errs, "rosectl: %v\n", err)
+	return exitCode(err)
+}
+
+// errNotDone means that a wait ended before what it waited for.
+var errNotDone = errors.New("not done in time")
+
+func exitCode(err error) int {
+	var file *files.Error
+	var platform *plat.Error
+	switch {
+	case errors.Is(err, errNotDone):
+		return exitNotDone
+	case errors.As(err, &file):
+		return exitInvalid
+	case errors.As(err, &platform):
+		return platformCode(platform.Kind())
+	case errors.Is(err, errUnanswered):
+		return exitFailed
+	case errors.Is(err, errNoSuch):
+		return exitNotFound
+	default:
+		return exitUsage
+	}
+}
+
+func platformCode(k plat.Kind) int {
+	switch k {
+	case plat.KindConflict, plat.KindLost:
+		return exitConflict
+	case plat.KindNotFound:
+		return exitNotFound
+	default:
+		return exitFailed
+	}
+}
+
+// Command returns the root command.
+func Command() *cobra.Command {
+	t := &tool{}
+	root := &cobra.Command{
+		Use: "rosectl", Short: "Steer traffic by objects of the platform",
+		Long:         "rosectl writes desired state to the platform's object API and shows what the system reports.\n\n" + exitHelp,
+		SilenceUsage: true, SilenceErrors: true, Version: config.Version(),
+		PersistentPreRunE: func(cmd *cobra.Command, _ []string) error {
+			t.in = cmd.InOrStdin()
+			if !slices.Contains([]string{output.FormatTable, output.FormatJSON}, t.format) {
+				return fmt.Errorf("--output must be %s or %s", output.FormatTable, output.FormatJSON)
+			}
+			return nil
+		},
+	}
+	root.PersistentFlags().StringVar(&t.platform, "platform", "127.0.0.1:7000", "IP:port of the platform's object API")
+	root.PersistentFlags().StringVarP(&t.format, "output", "o", output.FormatTable, "output format: table or json")
+	for _, c := range commands(t) {
+		root.AddCommand(c)
+	}
+	return root
+}
+
+// commands is the table of all commands.
+func commands(t *tool) []*cobra.Command {
+	return []*cobra.Command{
+		validateCommand(t), applyCommand(t), getCommand(t), statusCommand(t), watchCommand(t), deleteCommand(t),
+		shiftCommand(t), drainCommand(t), recallCommand(t), explainCommand(t), dumpCommand(t), versionCommand(),
+	}
+}
+
+func versionCommand() *cobra.Command {
+	return &cobra.Command{
+		Use: "version", Short: "Print the version", Args: cobra.NoArgs,
+		Run: func(cmd *cobra.Command, _ []string) { _, _ = fmt.Fprintln(cmd.OutOrStdout(), config.Version()) },
+	}
+}
--- /dev/null
+++ b/rosectl/cmds/read.go
@@ -0,0 +1,224 @@
+package cmds
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"slices"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"rosemarygrade.dev/lib/pkg/wire"
+	"rosemarygrade.dev/rosectl/pkg/output"
+)
+
+func getCommand(t *tool) *cobra.Command {
+	return &cobra.Command{
+		Use: "get [KIND [NAME]]", Short: "Show objects with their specs", Args: cobra.MaximumNArgs(2),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			objects, err := find(cmd.Context(), t, args)
+			if err != nil {
+				return err
+			}
+			return output.JSON(cmd.OutOrStdout(), objects)
+		},
+	}
+}
+
+func statusCommand(t *tool) *cobra.Command {
+	return &cobra.Command{
+		Use: "status [KIND [NAME]]", Short: "Show how far objects are in force", Args: cobra.MaximumNArgs(2),
+		Long: `Show the status that the system reports of objects: the version in force, on how many of the
+known processes, how many requests are still in flight where a drain or recall asks to stop, and why not yet.`,
+		RunE: func(cmd *cobra.Command, args []string) error {
+			objects, err := find(cmd.Context(), t, args)
+			if err != nil {
+				return err
+			}
+			return output.Objects(cmd.OutOrStdout(), t.format, objects)
+		},
+	}
+}
+
+// find returns one object, those of a kind, or all, without deleted ones.
+func find(ctx context.Context, t *tool, args []string) ([]wire.Object, error) {
+	if len(args) == 2 {
+		o, err := t.client().Get(ctx, args[0], args[1])
+		return []wire.Object{o}, err
+	}
+	l, err := t.client().List(ctx)
+	if err != nil {
+		return nil, err
+	}
+	objects := slices.DeleteFunc(l.Objects, func(o wire.Object) bool {
+		return o.Deleted || (len(args) == 1 && o.Kind != args[0])
+	})
+	slices.SortFunc(objects, compareObjects)
+	return objects, nil
+}
+
+func compareObjects(a, b wire.Object) int {
+	order := wire.Kinds()
+	if d := slices.Index(order, a.Kind) - slices.Index(order, b.Kind); d != 0 {
+		return d
+	}
+	if a.Name < b.Name {
+		return -1
+	}
+	return 1
+}
+
+// watchWait is how long one watch waits.
+const watchWait = 20 * time.Second
+
+func watchCommand(t *tool) *cobra.Command {
+	return &cobra.Command{
+		Use: "watch", Short: "Show objects as they change", Args: cobra.NoArgs,
+		Long: "Show each change of an object until interrupted.",
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			c := t.client()
+			l, err := c.List(cmd.Context())
+			if err != nil {
+				return err
+			}
+			for since := l.Revision; cmd.Context().Err() == nil; since = l.Revision {
+				if l, err = c.Watch(cmd.Context(), since, watchWait); err != nil {
+					return stopped(cmd.Context(), err)
+				}
+				for _, o := range l.Objects {
+					_, _ = fmt.Fprintf(cmd.OutOrStdout(), "%s/%s version=%d deleted=%t\n", o.Kind, o.Name, o.Version, o.Deleted)
+				}
+			}
+			return nil
+		},
+	}
+}
+
+// stopped turns the error of an interrupted call into none.
+func stopped(ctx context.Context, err error) error {
+	if ctx.Err() != nil {
+		return nil
+	}
+	return err
+}
+
+var (
+	errUnanswered = errors.New("the process did not answer")
+	errNoSuch     = errors.New("not found")
+)
+
+func explainCommand(t *tool) *cobra.Command {
+	var addresses []string
+	cmd := &cobra.Command{
+		Use: "explain REQUEST-ID | KIND NAME", Short: "Tell why a request or an object ended where it did",
+		Args: cobra.RangeArgs(1, 2),
+		Long: `With a request id, ask entryds which rule placed the request where and which limit held it back.
+With a kind and a name, show the object's status and what it waits for.`,
+		RunE: func(cmd *cobra.Command, args []string) error {
+			if len(args) == 2 {
+				return explainObject(cmd, t, args[0], args[1])
+			}
+			return explainRequest(cmd, addresses, args[0])
+		},
+	}
+	cmd.Flags().StringSliceVar(&addresses, "admin", nil, "admin addresses of the entryds to ask")
+	return cmd
+}
+
+func explainObject(cmd *cobra.Command, t *tool, kind, name string) error {
+	o, err := t.client().Get(cmd.Context(), kind, name)
+	if err != nil {
+		return err
+	}
+	out := cmd.OutOrStdout()
+	switch {
+	case o.Deleted:
+		_, _ = fmt.Fprintf(out, "%s/%s was deleted at version %d\n", kind, name, o.Version)
+	case o.Status == nil:
+		_, _ = fmt.Fprintf(out, "%s/%s version %d has no status: no steerd has reported it yet\n", kind, name, o.Version)
+	case o.Status.ObservedVersion < o.Version:
+		_, _ = fmt.Fprintf(out, "%s/%s version %d has not reached its reporter, which has version %d\n", kind, name, o.Version, o.Status.ObservedVersion)
+	default:
+		_, _ = fmt.Fprintf(out, "%s/%s version %d: version %d is in force, on %d of %d processes; %s\n",
+			kind, name, o.Version, o.Status.ForceVersion, o.Status.HostsInForce, o.Status.HostsKnown, reasonOf(o))
+	}
+	return nil
+}
+
+func reasonOf(o wire.Object) string {
+	switch {
+	case o.Status.Reason != "":
+		return fmt.Sprintf("%s (%d in flight)", o.Status.Reason, o.Status.InFlight)
+	case o.Status.Done:
+		return "nothing is left in flight"
+	default:
+		return "nothing is amiss"
+	}
+}
+
+func explainRequest(cmd *cobra.Command, addresses []string, id string) error {
+	if len(addresses) == 0 {
+		return errors.New("--admin must name the entryds to ask")
+	}
+	answered := false
+	for _, a := range addresses {
+		status, body, err := fetch(cmd.Context(), a, "/explain/"+url.PathEscape(id))
+		if err != nil {
+			continue
+		}
+		answered = true
+		if status == http.StatusOK {
+			_, err := cmd.OutOrStdout().Write(append(body, '\n'))
+			return err
+		}
+	}
+	if !answered {
+		return errUnanswered
+	}
+	return fmt.Errorf("request %s: %w", id, errNoSuch)
+}
+
+func dumpCommand(_ *tool) *cobra.Command {
+	return &cobra.Command{
+		Use: "dump ADMIN-ADDRESS...", Short: "Print the state of processes", Args: cobra.MinimumNArgs(1),
+		Long: "Print the state of steerds and entryds, asked at their admin addresses.",
+		RunE: func(cmd *cobra.Command, args []string) error {
+			for _, a := range args {
+				_, body, err := fetch(cmd.Context(), a, "/debug/state")
+				if err != nil {
+					return err
+				}
+				if _, err := cmd.OutOrStdout().Write(append(body, '\n')); err != nil {
+					return err
+				}
+			}
+			return nil
+		},
+	}
+}
+
+// Limits of a question to a process.
+const (
+	fetchTimeout = 5 * time.Second
+	maxFetch     = 64 << 20
+)
+
+func fetch(ctx context.Context, address, path string) (int, []byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+path, nil)
+	if err != nil {
+		return 0, nil, err
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0, nil, fmt.Errorf("%s: %w: %w", address, errUnanswered, err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxFetch))
+	return resp.StatusCode, body, err
+}
--- /dev/null
+++ b/rosectl/cmds/write.go
@@ -0,0 +1,253 @@
+package cmds
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"rosemarygrade.dev/lib/pkg/fault"
+	"rosemarygrade.dev/lib/pkg/plat"
+	"rosemarygrade.dev/lib/pkg/wire"
+	"rosemarygrade.dev/rosectl/pkg/files"
+	"rosemarygrade.dev/rosectl/pkg/output"
+)
+
+func readAll(t *tool, names []string) ([]wire.Object, error) {
+	var all []wire.Object
+	for _, n := range names {
+		objects, err := files.Read(n, t.in)
+		if err != nil {
+			return nil, err
+		}
+		all = append(all, objects...)
+	}
+	return all, files.Check(all)
+}
+
+func validateCommand(t *tool) *cobra.Command {
+	return &cobra.Command{
+		Use: "validate FILE...", Short: "Check the objects in files", Args: cobra.MinimumNArgs(1),
+		Long: "Check the objects in JSON files without writing them. The file name - stands for standard input.",
+		RunE: func(cmd *cobra.Command, args []string) error {
+			objects, err := readAll(t, args)
+			if err != nil {
+				return err
+			}
+			_, _ = fmt.Fprintf(cmd.OutOrStdout(), "%d objects are valid\n", len(objects))
+			return nil
+		},
+	}
+}
+
+func applyCommand(t *tool) *cobra.Command {
+	return &cobra.Command{
+		Use: "apply FILE...", Short: "Write the objects in files", Args: cobra.MinimumNArgs(1),
+		Long: `Write the objects in JSON files to the platform. Nothing is written unless all objects are valid.
+
+An object with a "version" is written only if that version still stands. An object without one is
+written over the version that stands when the command reads it. When another write comes first,
+both versions are shown and that object is not changed.`,
+		RunE: func(cmd *cobra.Command, args []string) error {
+			objects, err := readAll(t, args)
+			if err != nil {
+				return err
+			}
+			for _, o := range objects {
+				if err := apply(cmd.Context(), t.client(), cmd.OutOrStdout(), o); err != nil {
+					return err
+				}
+			}
+			return nil
+		},
+	}
+}
+
+// apply writes one object and tells what it did.
+func apply(ctx context.Context, c plat.Client, out io.Writer, o wire.Object) error {
+	standing, err := c.Get(ctx, o.Kind, o.Name)
+	if err != nil && !plat.Is(err, plat.KindNotFound) {
+		return err
+	}
+	ifVersion := standing.Version
+	if standing.Deleted {
+		ifVersion = 0
+	}
+	if o.Version != 0 {
+		ifVersion = o.Version
+	}
+	if !standing.Deleted && o.Version == 0 && sameSpec(standing.Spec, o.Spec) {
+		_, _ = fmt.Fprintf(out, "%s/%s unchanged at version %d\n", o.Kind, o.Name, standing.Version)
+		return nil
+	}
+	written, err := c.Put(ctx, o, ifVersion)
+	if plat.Is(err, plat.KindConflict) {
+		return lostRace(ctx, c, out, o, ifVersion, err)
+	}
+	if err != nil {
+		return err
+	}
+	_, _ = fmt.Fprintf(out, "%s/%s written at version %d\n", o.Kind, o.Name, written.Version)
+	return nil
+}
+
+func sameSpec(a, b json.RawMessage) bool {
+	var x, y bytes.Buffer
+	if json.Compact(&x, a) != nil || json.Compact(&y, b) != nil {
+		return false
+	}
+	return bytes.Equal(x.Bytes(), y.Bytes())
+}
+
+// race is what is shown of a lost race.
+type race struct {
+	Yours    wire.Object `json:"yours"`
+	Standing wire.Object `json:"standing"`
+}
+
+func lostRace(ctx context.Context, c plat.Client, out io.Writer, o wire.Object, ifVersion uint64, cause error) error {
+	standing, err := c.Get(ctx, o.Kind, o.Name)
+	if err != nil {
+		return cause
+	}
+	o.Version = ifVersion
+	if err := output.JSON(out, race{Yours: o, Standing: standing}); err != nil {
+		return err
+	}
+	return fault.New("apply "+o.Kind+"/"+o.Name, plat.KindConflict, fmt.Sprintf(
+		"yours was for version %d, but version %d stands; nothing was changed", ifVersion, standing.Version))
+}
+
+func deleteCommand(t *tool) *cobra.Command {
+	var version uint64
+	cmd := &cobra.Command{
+		Use: "delete KIND NAME", Short: "Delete an object", Args: cobra.ExactArgs(2),
+		Long: "Delete an object. Deleting a shift, a drain or a recall ends it.",
+		RunE: func(cmd *cobra.Command, args []string) error {
+			c := t.client()
+			standing, err := c.Get(cmd.Context(), args[0], args[1])
+			if err != nil {
+				return err
+			}
+			if version == 0 {
+				version = standing.Version
+			}
+			o, err := c.Delete(cmd.Context(), args[0], args[1], version)
+			if err != nil {
+				return err
+			}
+			_, _ = fmt.Fprintf(cmd.OutOrStdout(), "%s/%s deleted at version %d\n", args[0], args[1], o.Version)
+			return nil
+		},
+	}
+	cmd.Flags().Uint64Var(&version, "if-version", 0, "delete only if this version stands; 0 takes the one that stands")
+	return cmd
+}
+
+// put checks and writes an object that a command makes.
+func put[S any](ctx context.Context, t *tool, out io.Writer, kind, name string, spec S) error {
+	raw, err := json.Marshal(spec)
+	if err != nil {
+		return err
+	}
+	o := wire.Object{Kind: kind, Name: name, Spec: raw}
+	if err := files.Check([]wire.Object{o}); err != nil {
+		return err
+	}
+	return apply(ctx, t.client(), out, o)
+}
+
+func shiftCommand(t *tool) *cobra.Command {
+	var (
+		spec wire.ShiftSpec
+		ramp time.Duration
+	)
+	cmd := &cobra.Command{
+		Use: "shift NAME", Short: "Move a share of a service's requests to another region", Args: cobra.ExactArgs(1),
+		Long: "Write a shift object. No more than the cap moves, also while a drain or a recall is under way.",
+		RunE: func(cmd *cobra.Command, args []string) error {
+			spec.RampSeconds = int(ramp / time.Second)
+			return put(cmd.Context(), t, cmd.OutOrStdout(), wire.KindShift, args[0], spec)
+		},
+	}
+	cmd.Flags().StringVar(&spec.Service, "service", "", "service whose requests move")
+	cmd.Flags().StringVar(&spec.From, "from", "", "region that requests leave")
+	cmd.Flags().StringVar(&spec.To, "to", "", "region that requests go to")
+	cmd.Flags().Float64Var(&spec.CapPercent, "cap", 0, "largest share that moves, in per cent")
+	cmd.Flags().DurationVar(&ramp, "ramp", 0, "time in which the share grows to the cap")
+	return cmd
+}
+
+func drainCommand(t *tool) *cobra.Command {
+	var (
+		spec wire.DrainSpec
+		wait time.Duration
+	)
+	cmd := &cobra.Command{
+		Use: "drain NAME", Short: "Take a data centre, a region or a host out of use", Args: cobra.ExactArgs(1),
+		Long: "Write a drain object. Deleting the object ends the drain.",
+		RunE: func(cmd *cobra.Command, args []string) error {
+			if err := put(cmd.Context(), t, cmd.OutOrStdout(), wire.KindDrain, args[0], spec); err != nil {
+				return err
+			}
+			return waitDone(cmd.Context(), t, cmd.OutOrStdout(), wire.KindDrain, args[0], wait)
+		},
+	}
+	cmd.Flags().StringVar(&spec.Scope, "scope", "dataCentre", "dataCentre, region or host")
+	cmd.Flags().StringVar(&spec.Name, "of", "", "name of the data centre, region or host")
+	cmd.Flags().DurationVar(&wait, "wait", 0, "wait this long until nothing is left in flight")
+	return cmd
+}
+
+func recallCommand(t *tool) *cobra.Command {
+	var (
+		spec wire.RecallSpec
+		wait time.Duration
+	)
+	cmd := &cobra.Command{
+		Use: "recall NAME", Short: "Take every backend server of a batch out of use", Args: cobra.ExactArgs(1),
+		Long: "Write a recall object, for a batch across data centres and regions. Deleting the object ends the recall.",
+		RunE: func(cmd *cobra.Command, args []string) error {
+			if err := put(cmd.Context(), t, cmd.OutOrStdout(), wire.KindRecall, args[0], spec); err != nil {
+				return err
+			}
+			return waitDone(cmd.Context(), t, cmd.OutOrStdout(), wire.KindRecall, args[0], wait)
+		},
+	}
+	cmd.Flags().StringVar(&spec.Batch, "batch", "", "label of the batch")
+	cmd.Flags().DurationVar(&wait, "wait", 0, "wait this long until nothing is left in flight")
+	return cmd
+}
+
+// statusPoll is the time between two looks at a status.
+const statusPoll = 250 * time.Millisecond
+
+// waitDone waits until the status of the object's newest version says that it is done.
+func waitDone(ctx context.Context, t *tool, out io.Writer, kind, name string, wait time.Duration) error {
+	if wait <= 0 {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
+	c := t.client()
+	last := wire.Object{}
+	for {
+		o, err := c.Get(ctx, kind, name)
+		if err == nil {
+			last = o
+			if o.Status != nil && o.Status.ObservedVersion >= o.Version && o.Status.Done {
+				return output.Objects(out, t.format, []wire.Object{o})
+			}
+		}
+		select {
+		case <-ctx.Done():
+			_ = output.Objects(out, t.format, []wire.Object{last})
+			return errNotDone
+		case <-time.After(statusPoll):
+		}
+	}
+}
--- /dev/null
+++ b/rosectl/pkg/output/output.go
@@ -0,0 +1,58 @@
+// Package output prints objects for people and for programs.
+package output
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"strconv"
+	"text/tabwriter"
+
+	"rosemarygrade.dev/lib/pkg/wire"
+)
+
+// Formats of the output.
+const (
+	FormatTable = "table"
+	FormatJSON  = "json"
+)
+
+// Objects prints objects.
+func Objects(w io.Writer, format string, objects []wire.Object) error {
+	if format == FormatJSON {
+		return JSON(w, objects)
+	}
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	_, _ = fmt.Fprintln(t, "KIND\tNAME\tVERSION\tIN FORCE\tHOSTS\tIN FLIGHT\tDONE\tREASON")
+	for _, o := range objects {
+		_, _ = fmt.Fprintln(t, row(o))
+	}
+	return t.Flush()
+}
+
+func row(o wire.Object) string {
+	version := strconv.FormatUint(o.Version, 10)
+	if o.Deleted {
+		return fmt.Sprintf("%s\t%s\t%s\t-\t-\t-\t-\tdeleted", o.Kind, o.Name, version)
+	}
+	if o.Status == nil {
+		return fmt.Sprintf("%s\t%s\t%s\t-\t-\t-\t-\tno status yet", o.Kind, o.Name, version)
+	}
+	s := o.Status
+	return fmt.Sprintf("%s\t%s\t%s\t%d\t%d/%d\t%d\t%s\t%s", o.Kind, o.Name, version, s.ForceVersion,
+		s.HostsInForce, s.HostsKnown, s.InFlight, done(o), s.Reason)
+}
+
+func done(o wire.Object) string {
+	if o.Kind != wire.KindDrain && o.Kind != wire.KindRecall {
+		return "-"
+	}
+	return strconv.FormatBool(o.Status.Done)
+}
+
+// JSON prints a value as indented JSON.
+func JSON(w io.Writer, v any) error {
+	e := json.NewEncoder(w)
+	e.SetIndent("", "  ")
+	return e.Encode(v)
+}
--- /dev/null
+++ b/standin/main.go
@@ -0,0 +1,12 @@
+// Command standin plays the systems around rosemarygrade: the platform, backend servers and callers.
+package main
+
+import (
+	"os"
+
+	"rosemarygrade.dev/standin/cmds"
+)
+
+func main() {
+	os.Exit(cmds.Execute(os.Args[1:], os.Stdout, os.Stderr))
+}
