--- a/entryd/pkg/queue/queue.go
+++ b/entryd/pkg/queue/queue.go
@@ -180,7 +180,7 @@
 
 // estimate returns how long a new request would wait.
 func (q *Queue) estimate(t *Ticket) time.Duration {
-	free := q.slots - q.inFlight
+	free := q.slots - q.busy()
 	ahead := q.waiting[liveOwn].Len() + q.waiting[liveRemote].Len()
 	if t.background {
 		ahead += q.waiting[backgroundOwn].Len() + q.waiting[backgroundRemote].Len()
@@ -258,7 +258,7 @@
 
 // freeServer returns the server with the most free slots, the faster one of equals, or nil.
 func (q *Queue) freeServer(now time.Time, not string) *server {
-	if float64(q.inFlight) >= q.limit*float64(q.slots) {
+	if q.limit < 1 && float64(q.busy()) >= q.limit*float64(q.slots) {
 		return nil
 	}
 	var (
@@ -281,6 +281,17 @@
 	return best
 }
 
+// busy returns how many slots of the servers that take new work are in use.
+func (q *Queue) busy() int {
+	n := 0
+	for _, s := range q.order {
+		if !s.leaving {
+			n += s.inFlight + s.foreign
+		}
+	}
+	return n
+}
+
 func (q *Queue) free(now time.Time, s *server) int {
 	allowed := q.health.Allowed(now, s.address, s.slots)
 	if !s.warm {
@@ -416,7 +427,7 @@
 	for class := range q.waiting {
 		queued += q.waiting[class].Len()
 	}
-	return flow.Load{Free: max(0, q.slots-q.inFlight), Queued: queued, Slots: q.slots}
+	return flow.Load{Free: max(0, q.slots-q.busy()), Queued: queued, Slots: q.slots}
 }
 
 // ServerLoad is a server's requests in flight.
--- /dev/null
+++ b/entryd/pkg/queue/queue_test.go
@@ -0,0 +1,294 @@
+package queue_test
+
+import (
+	"flag"
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"rosemarygrade.dev/entryd/pkg/flow"
+	"rosemarygrade.dev/entryd/pkg/queue"
+	"rosemarygrade.dev/lib/pkg/model"
+)
+
+// init fixes the seed, so that every run gives the same verdict; -rapid.seed on the command line wins.
+func init() { _ = flag.Set("rapid.seed", "20261204") }
+
+var start = time.Unix(1_700_000_000, 0)
+
+func at(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+
+// servers returns n servers with the number of slots each.
+func servers(n, slots int) []model.Server {
+	spec := `{"service":"s","servers":[`
+	for i := range n {
+		if i > 0 {
+			spec += ","
+		}
+		spec += fmt.Sprintf(`{"address":"127.0.0.%d:1","dataCentre":"d","slots":%d}`, i+1, slots)
+	}
+	p, err := model.Parse("placement", "s", []byte(spec+"]}"))
+	if err != nil {
+		panic(err)
+	}
+	r, _ := model.Parse("region", "own", []byte(`{"dataCentres":["d"],"maxHosts":1}`))
+	return model.NewSnapshot([]model.Object{p, r}).Site(model.SiteID{Service: "s", DataCentre: "d"}).Servers()
+}
+
+func site(n, slots int) *queue.Queue {
+	q := queue.New("own")
+	q.SetServers(servers(n, slots))
+	return q
+}
+
+func live(source string, deadline int) *queue.Ticket { return queue.NewTicket(source, false, at(deadline)) }
+
+func admit(t *testing.T, q *queue.Queue, now int, tickets ...*queue.Ticket) {
+	t.Helper()
+	for _, x := range tickets {
+		r := q.Admit(at(now), x)
+		assert.Assert(t, r == nil, "refused: %v", r)
+	}
+}
+
+func assertRefused(t *testing.T, r *flow.Refused, kind flow.RefusalKind) {
+	t.Helper()
+	assert.Assert(t, r != nil)
+	assert.Equal(t, r.Kind, kind)
+	assert.Equal(t, r.Outcome, flow.OutcomeNotRun)
+}
+
+func assertDispatched(t *testing.T, q *queue.Queue, now int, want ...*queue.Ticket) {
+	t.Helper()
+	got := q.Dispatch(at(now))
+	assert.Equal(t, len(got), len(want))
+	for i := range want {
+		assert.Assert(t, got[i] == want[i], "dispatch %d is another ticket", i)
+		assert.Assert(t, got[i].Server() != "")
+	}
+}
+
+func TestOrder(t *testing.T) {
+	t.Run("earliest deadline first", func(t *testing.T) {
+		q := site(1, 1)
+		a, b := live("own", 900), live("own", 500)
+		admit(t, q, 0, a, b)
+		assertDispatched(t, q, 0, b)
+		q.Done(at(1), b, queue.End{Ran: true})
+		assertDispatched(t, q, 1, a)
+	})
+	t.Run("live before background", func(t *testing.T) {
+		q := site(1, 1)
+		bg, l := queue.NewTicket("own", true, at(100)), live("own", 900)
+		admit(t, q, 0, bg, l)
+		assertDispatched(t, q, 0, l)
+	})
+	t.Run("background holds a share of slots only", func(t *testing.T) {
+		q := site(2, 2)
+		var bg []*queue.Ticket
+		for range 4 {
+			bg = append(bg, queue.NewTicket("own", true, at(10_000)))
+		}
+		admit(t, q, 0, bg...)
+		assertDispatched(t, q, 0, bg[0], bg[1])
+	})
+	t.Run("late binding spreads over servers", func(t *testing.T) {
+		q := site(3, 1)
+		admit(t, q, 0, live("own", 900), live("own", 900), live("own", 900))
+		seen := map[string]bool{}
+		for _, x := range q.Dispatch(at(0)) {
+			seen[x.Server()] = true
+		}
+		assert.Equal(t, len(seen), 3)
+	})
+}
+
+func TestAdmit(t *testing.T) {
+	t.Run("no server", func(t *testing.T) {
+		assertRefused(t, queue.New("own").Admit(at(0), live("own", 900)), flow.RefusedNoServer)
+	})
+	t.Run("past deadline", func(t *testing.T) {
+		assertRefused(t, site(1, 1).Admit(at(10), live("own", 10)), flow.RefusedExpired)
+	})
+	t.Run("would miss its deadline", func(t *testing.T) {
+		q := site(1, 1)
+		first := live("own", 1000)
+		admit(t, q, 0, first)
+		q.Dispatch(at(0))
+		q.Done(at(100), first, queue.End{Ran: true})
+		admit(t, q, 100, live("own", 5000), live("own", 5000))
+		q.Dispatch(at(100))
+		assertRefused(t, q.Admit(at(100), live("own", 150)), flow.RefusedLate)
+	})
+	t.Run("queue is bounded", func(t *testing.T) {
+		q := site(1, 1)
+		for range q.Capacity() {
+			admit(t, q, 0, live("own", 1000))
+		}
+		assertRefused(t, q.Admit(at(0), live("own", 1000)), flow.RefusedQuota)
+	})
+}
+
+func TestLeavingServers(t *testing.T) {
+	t.Run("a leaving server gets nothing new and keeps what it has", func(t *testing.T) {
+		q := site(2, 1)
+		a := live("own", 1000)
+		admit(t, q, 0, a)
+		assertDispatched(t, q, 0, a)
+		var rest []model.Server
+		for _, v := range servers(2, 1) {
+			if v.Address() != a.Server() {
+				rest = append(rest, v)
+			}
+		}
+		q.SetServers(rest)
+		b, c := live("own", 1000), live("own", 1000)
+		admit(t, q, 1, b, c)
+		assertDispatched(t, q, 1, b)
+		assert.Assert(t, b.Server() != a.Server())
+		assert.Equal(t, q.InFlight(), 2)
+		q.Done(at(2), a, queue.End{Ran: true})
+		assertDispatched(t, q, 2)
+	})
+	t.Run("a returned server keeps count of what it still runs", func(t *testing.T) {
+		q := site(1, 1)
+		a, b := live("own", 1000), live("own", 1000)
+		admit(t, q, 0, a)
+		q.Dispatch(at(0))
+		q.SetServers(nil)
+		q.SetServers(servers(1, 1))
+		admit(t, q, 1, b)
+		assertDispatched(t, q, 1)
+		q.Done(at(2), a, queue.End{Ran: true})
+		assertDispatched(t, q, 2, b)
+	})
+	t.Run("a server that joins warms up", func(t *testing.T) {
+		q := site(1, 4)
+		q.SetServers(servers(2, 4))
+		for range 8 {
+			admit(t, q, 0, live("own", 1000))
+		}
+		assert.Equal(t, len(q.Dispatch(at(0))), 5)
+	})
+}
+
+func TestForeignWorkHoldsSlots(t *testing.T) {
+	q := site(1, 3)
+	q.SetForeign("127.0.0.1:1", 2)
+	a, b := live("own", 1000), live("own", 1000)
+	admit(t, q, 0, a, b)
+	assertDispatched(t, q, 0, a)
+	q.SetForeign("127.0.0.1:1", 0)
+	assertDispatched(t, q, 0, b)
+}
+
+func TestCancelAndExpire(t *testing.T) {
+	q := site(1, 1)
+	a, b, c := live("own", 1000), live("own", 50), live("own", 900)
+	admit(t, q, 0, a, b, c)
+	assertDispatched(t, q, 0, b)
+	assert.Assert(t, !q.Cancel(at(1), b), "a bound ticket can't be cancelled")
+	assert.Assert(t, q.Cancel(at(1), a))
+	assert.Equal(t, len(q.Expire(at(899))), 0)
+	assert.Equal(t, len(q.Expire(at(900))), 1)
+	assert.Equal(t, q.Load().Queued, 0)
+}
+
+func TestHedge(t *testing.T) {
+	t.Run("only to a free slot of another server", func(t *testing.T) {
+		q := site(2, 1)
+		a := live("own", 1000)
+		admit(t, q, 0, a)
+		q.Dispatch(at(0))
+		h := q.Hedge(at(1), a)
+		assert.Assert(t, h != nil && h.Server() != a.Server())
+		assert.Assert(t, q.Hedge(at(1), a) == nil)
+	})
+	t.Run("never while others wait", func(t *testing.T) {
+		q := site(1, 1)
+		a := live("own", 1000)
+		admit(t, q, 0, a, live("own", 1000))
+		q.Dispatch(at(0))
+		assert.Assert(t, q.Hedge(at(1), a) == nil)
+	})
+}
+
+// TestSlotsHold drives a queue at random and checks after each step what must always hold.
+func TestSlotsHold(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n, slots := rapid.IntRange(1, 4).Draw(t, "servers"), rapid.IntRange(1, 3).Draw(t, "slots")
+		q := site(n, slots)
+		m := &machine{t: t, q: q, slots: slots, n: n}
+		for range rapid.IntRange(1, 120).Draw(t, "steps") {
+			m.step()
+			m.check()
+		}
+	})
+}
+
+type machine struct {
+	t       *rapid.T
+	q       *queue.Queue
+	n       int
+	slots   int
+	now     int
+	waiting []*queue.Ticket
+	running []*queue.Ticket
+}
+
+func (m *machine) step() {
+	m.now += rapid.IntRange(0, 40).Draw(m.t, "ms")
+	switch rapid.IntRange(0, 6).Draw(m.t, "action") {
+	case 0, 1, 2:
+		source := rapid.SampledFrom([]string{"own", "far", "farther"}).Draw(m.t, "source")
+		x := queue.NewTicket(source, rapid.Bool().Draw(m.t, "background"), at(m.now+rapid.IntRange(1, 400).Draw(m.t, "deadline")))
+		if m.q.Admit(at(m.now), x) == nil {
+			m.waiting = append(m.waiting, x)
+		}
+	case 3:
+		if len(m.running) > 0 {
+			x := m.running[0]
+			m.running = m.running[1:]
+			m.q.Done(at(m.now), x, queue.End{Ran: rapid.Bool().Draw(m.t, "ran")})
+		}
+	case 4:
+		m.q.SetServers(servers(m.n, m.slots)[rapid.IntRange(0, m.n).Draw(m.t, "gone"):])
+	case 5:
+		m.q.Expire(at(m.now))
+	case 6:
+		if len(m.running) > 0 {
+			if h := m.q.Hedge(at(m.now), m.running[0]); h != nil {
+				m.running = append(m.running, h)
+			}
+		}
+	}
+	m.running = append(m.running, m.q.Dispatch(at(m.now))...)
+}
+
+func (m *machine) check() {
+	byServer := map[string]int{}
+	for _, x := range m.running {
+		byServer[x.Server()]++
+	}
+	for address, n := range byServer {
+		if n > m.slots {
+			m.t.Fatalf("server %s has %d requests on %d slots", address, n, m.slots)
+		}
+	}
+	if m.q.InFlight() != len(m.running) {
+		m.t.Fatalf("in flight %d, want %d", m.q.InFlight(), len(m.running))
+	}
+	held := 0
+	for region, n := range m.q.Held() {
+		if n < 0 {
+			m.t.Fatalf("region %s holds %d places", region, n)
+		}
+		held += n
+	}
+	if limit := m.slots * m.n * 9; held > limit {
+		m.t.Fatalf("%d places held of %d", held, limit)
+	}
+}
--- a/entryd/pkg/shift/shift.go
+++ b/entryd/pkg/shift/shift.go
@@ -50,7 +50,7 @@
 		}
 		a.arrived++
 		// Unused credit does not pile up, or a quiet shift could later move a burst.
-		a.credit = min(1, a.credit+Share(sh, a.since, now))
+		a.credit = min(maxCredit, a.credit+Share(sh, a.since, now))
 	}
 }
 
@@ -77,6 +77,10 @@
 	return true
 }
 
+// maxCredit is how many requests may move at once after a quiet time. With less than two, the
+// fraction above one would be lost at each move and the share would stay below the cap.
+const maxCredit = 2
+
 // tolerance absorbs the rounding of sums of shares.
 const tolerance = 1e-9
 
--- /dev/null
+++ b/lib/pkg/member/member_test.go
@@ -0,0 +1,143 @@
+package member_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"rosemarygrade.dev/lib/pkg/member"
+	"rosemarygrade.dev/lib/pkg/peerpb"
+)
+
+var (
+	start  = time.Unix(1_700_000_000, 0)
+	timing = member.Timing{Dead: 3 * time.Second, CentreDead: 30 * time.Second}
+)
+
+func at(seconds float64) time.Time { return start.Add(time.Duration(seconds * float64(time.Second))) }
+
+func one(host string, incarnation, seq uint64) *peerpb.Member {
+	return &peerpb.Member{
+		Incarnation: incarnation, Seq: seq, Role: peerpb.Role_ROLE_ENTRYD, Host: host, DataCentre: "dc1", Region: "r1",
+	}
+}
+
+func assertLive(t *testing.T, tb *member.Table, now time.Time, incarnations ...uint64) {
+	t.Helper()
+	got := []uint64{}
+	for _, m := range tb.Live(now) {
+		got = append(got, m.GetIncarnation())
+	}
+	if incarnations == nil {
+		incarnations = []uint64{}
+	}
+	assert.DeepEqual(t, got, incarnations)
+}
+
+func TestDeath(t *testing.T) {
+	t.Run("silence", func(t *testing.T) {
+		tb := member.New("dc1", timing)
+		tb.Observe(at(0), one("a", 1, 1))
+		assertLive(t, tb, at(2.9), 1)
+		assertLive(t, tb, at(3))
+	})
+	t.Run("an old word does not revive", func(t *testing.T) {
+		tb := member.New("dc1", timing)
+		tb.Observe(at(0), one("a", 1, 7))
+		tb.Observe(at(4), one("a", 1, 7))
+		tb.Merge(at(4), member.Beats{Incarnations: []uint64{1}, Seqs: []uint64{6}, Revisions: []uint64{0}})
+		assertLive(t, tb, at(4))
+	})
+	t.Run("a thawed process is live again", func(t *testing.T) {
+		tb := member.New("dc1", timing)
+		tb.Observe(at(0), one("a", 1, 7))
+		tb.Observe(at(10), one("a", 1, 8))
+		assertLive(t, tb, at(11), 1)
+	})
+	t.Run("a replaced process gives way to the new incarnation", func(t *testing.T) {
+		tb := member.New("dc1", timing)
+		tb.Observe(at(0), one("a", 1, 7))
+		tb.Observe(at(1), one("a", 2, 1))
+		assertLive(t, tb, at(1), 2)
+	})
+	t.Run("the long dead are forgotten", func(t *testing.T) {
+		tb := member.New("dc1", timing)
+		tb.Observe(at(0), one("a", 1, 7))
+		tb.Expire(at(61))
+		assert.Equal(t, len(tb.Records([]uint64{1})), 0)
+	})
+	t.Run("members of other data centres are not taken from beats", func(t *testing.T) {
+		tb := member.New("dc2", timing)
+		tb.Observe(at(0), one("a", 1, 1))
+		assertLive(t, tb, at(0))
+	})
+}
+
+func TestMerge(t *testing.T) {
+	a, b := member.New("dc1", timing), member.New("dc1", timing)
+	a.Observe(at(0), one("a", 1, 5))
+	b.Observe(at(0), one("b", 2, 9))
+	wanted, lacking := b.Merge(at(0), a.Beats(at(0)))
+	assert.DeepEqual(t, wanted, []uint64{1})
+	assert.Equal(t, lacking[0].GetIncarnation(), uint64(2))
+
+	t.Run("a new revision is asked for", func(t *testing.T) {
+		m := one("a", 1, 6)
+		m.Revision, m.Leaving = 1, true
+		a.Observe(at(1), m)
+		b.Observe(at(1), one("a", 1, 5))
+		wanted, _ := b.Merge(at(1), a.Beats(at(1)))
+		assert.DeepEqual(t, wanted, []uint64{1})
+		b.Observe(at(1), a.Records(wanted)[0])
+		assert.Assert(t, b.Records(wanted)[0].GetLeaving())
+	})
+	t.Run("columns of unequal length are ignored", func(t *testing.T) {
+		wanted, lacking := b.Merge(at(1), member.Beats{Incarnations: []uint64{4}})
+		assert.Assert(t, wanted == nil && lacking == nil)
+	})
+}
+
+func TestCentres(t *testing.T) {
+	here, there := member.New("dc1", timing), member.New("dc2", timing)
+	here.Observe(at(0), one("a", 1, 5))
+	s := here.Summarize(at(0), 77)
+
+	t.Run("members are asked for once", func(t *testing.T) {
+		short := here.Summaries(at(0))
+		assert.DeepEqual(t, there.MergeCentres(at(0), short), []string{"dc1"})
+		assertLive(t, there, at(0))
+		there.MergeCentres(at(0), here.Full([]string{"dc1"}))
+		assertLive(t, there, at(0), 1)
+		here.Observe(at(1), one("a", 1, 6))
+		here.Summarize(at(1), 77)
+		assert.Equal(t, len(there.MergeCentres(at(1), here.Summaries(at(1)))), 0)
+		assertLive(t, there, at(30), 1)
+	})
+	t.Run("a cut region stays believed for a time", func(t *testing.T) {
+		assertLive(t, there, at(30.9), 1)
+		assertLive(t, there, at(31))
+	})
+	t.Run("an older stamp changes nothing", func(t *testing.T) {
+		there.MergeCentres(at(40), []*peerpb.Centre{s})
+		assertLive(t, there, at(40))
+	})
+	t.Run("a second gateway's stamp is above the first's", func(t *testing.T) {
+		second := member.New("dc1", timing)
+		second.MergeCentres(at(2), here.Summaries(at(2)))
+		assert.Assert(t, second.Summarize(at(2), 77).GetStamp() > here.Summaries(at(2))[0].GetStamp())
+	})
+	t.Run("census", func(t *testing.T) {
+		tb := member.New("dc1", timing)
+		m := one("a", 1, 1)
+		m.ConfigHash, m.Holds = 77, []*peerpb.Hold{{Kind: "recall", Name: "x", InFlight: 2}}
+		tb.Observe(at(0), m)
+		tb.Observe(at(0), one("b", 2, 1))
+		tb.MergeCentres(at(0), []*peerpb.Centre{{
+			DataCentre: "dc9", Stamp: 1, Total: 3, InForce: 2, ConfigHash: 77, Members: []*peerpb.Member{one("z", 9, 1)},
+			Holds: []*peerpb.Hold{{Kind: "recall", Name: "x", InFlight: 3}},
+		}})
+		inForce, known, holds := tb.Census(at(0), 77)
+		assert.DeepEqual(t, []int{inForce, known, holds["recall/x"]}, []int{3, 5, 5})
+	})
+}
--- a/lib/pkg/store/store.go
+++ b/lib/pkg/store/store.go
@@ -118,17 +118,26 @@
 		return &Entry{record: rec, object: object}
 	}
 	e := &Entry{record: rec, reason: err.Error()}
-	if old != nil && !old.record.GetDeleted() {
+	if old != nil {
 		rec.ForceVersion, rec.ForceSpec, e.object = old.record.GetForceVersion(), forceSpec(old.record), old.object
 	}
 	if r.GetForceVersion() > rec.GetForceVersion() && r.GetForceVersion() != r.GetVersion() {
-		if o, ferr := model.Parse(r.GetKind(), r.GetName(), r.GetForceSpec()); ferr == nil {
+		if o, ok := parseForce(r); ok {
 			rec.ForceVersion, rec.ForceSpec, e.object = r.GetForceVersion(), r.GetForceSpec(), o
 		}
 	}
 	return e
 }
 
+// parseForce returns what a peer has in force below an invalid version; nothing means a deletion.
+func parseForce(r *peerpb.Record) (model.Object, bool) {
+	if len(r.GetForceSpec()) == 0 {
+		return nil, true
+	}
+	o, err := model.Parse(r.GetKind(), r.GetName(), r.GetForceSpec())
+	return o, err == nil
+}
+
 func forceSpec(r *peerpb.Record) []byte {
 	if r.GetForceVersion() == r.GetVersion() {
 		return r.GetSpec()
