--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 	go build -o .build/bin/ $(addprefix ./,$(PROGRAMS))
 
 test: build
-	go test -race $(addsuffix /...,$(addprefix ./,$(MODULES)))
+	go test -race -parallel 3 $(addsuffix /...,$(addprefix ./,$(MODULES)))
 
 demo: build
 	bash _scripts/demo.sh
--- a/entryd/pkg/health/health.go
+++ b/entryd/pkg/health/health.go
@@ -137,7 +137,7 @@
 	return took, true
 }
 
-// Failed says that a server refused a request or could not be reached.
+// Failed says that a server refused a request, could not be reached, or was overtaken by a second try.
 func (t *Tracker) Failed(address string) { t.server(address).failures++ }
 
 func (t *Tracker) record(now time.Time, took time.Duration) {
@@ -212,12 +212,20 @@
 	}
 	// Where many servers seem bad at once, the measure is more likely wrong than the servers.
 	slices.SortFunc(bad, func(a, b *server) int { return cmp.Compare(b.badness, a.badness) })
-	limit := int(maxReduced * float64(len(t.servers)))
+	limit := reducible(len(t.servers))
 	for _, s := range bad[min(limit, len(bad)):] {
 		s.state = StateOK
 	}
 }
 
+// reducible returns how many of n servers may get fewer slots at once: a third, and one of two.
+func reducible(n int) int {
+	if n < 2 {
+		return 0
+	}
+	return max(1, int(maxReduced*float64(n)))
+}
+
 func (t *Tracker) renewTail() {
 	if t.recorded < minSiteData {
 		return
--- /dev/null
+++ b/entryd/pkg/owner/owner_test.go
@@ -0,0 +1,360 @@
+package owner_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"rosemarygrade.dev/entryd/pkg/flow"
+	"rosemarygrade.dev/entryd/pkg/owner"
+	"rosemarygrade.dev/entryd/pkg/server"
+	"rosemarygrade.dev/lib/pkg/model"
+	"rosemarygrade.dev/lib/pkg/peerpb"
+)
+
+const self = 1
+
+var start = time.Unix(1_700_000_000, 0)
+
+func at(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+
+func TestRuns(t *testing.T) {
+	t.Run("voided first", func(t *testing.T) {
+		r := owner.NewRuns()
+		assert.Assert(t, r.Void(at(0), "a", at(100)))
+		assert.Assert(t, !r.Dispatch(at(1), "a", at(100)))
+	})
+	t.Run("dispatched first", func(t *testing.T) {
+		r := owner.NewRuns()
+		assert.Assert(t, r.Dispatch(at(0), "a", at(100)))
+		assert.Assert(t, !r.Void(at(1), "a", at(100)))
+	})
+	t.Run("past its deadline", func(t *testing.T) {
+		r := owner.NewRuns()
+		assert.Assert(t, !r.Dispatch(at(100), "a", at(100)))
+		assert.Assert(t, r.Void(at(101), "a", at(100)))
+	})
+	t.Run("a proof that it did not run takes the mark back", func(t *testing.T) {
+		r := owner.NewRuns()
+		r.Dispatch(at(0), "a", at(100))
+		r.Refuse("a")
+		assert.Assert(t, r.Void(at(1), "a", at(100)))
+	})
+	t.Run("the two exclude each other", func(t *testing.T) {
+		r := owner.NewRuns()
+		var wg sync.WaitGroup
+		both := make([][2]bool, 200)
+		for i := range both {
+			id := fmt.Sprint(i)
+			wg.Go(func() { both[i][0] = r.Dispatch(at(0), id, at(100)) })
+			wg.Go(func() { both[i][1] = r.Void(at(0), id, at(100)) })
+		}
+		wg.Wait()
+		for _, b := range both {
+			assert.Assert(t, b[0] != b[1])
+		}
+	})
+	t.Run("old ones are forgotten", func(t *testing.T) {
+		r := owner.NewRuns()
+		r.Void(at(0), "a", at(100))
+		r.Void(at(120_000), "b", at(120_100))
+		assert.Equal(t, r.Len(), 1)
+	})
+}
+
+func TestGuard(t *testing.T) {
+	suspended := func() *owner.Guard {
+		g := owner.NewGuard(at(0))
+		g.Report(at(100))
+		g.Tick(at(100))
+		return g
+	}
+	t.Run("open while the process runs", func(t *testing.T) {
+		assert.Assert(t, suspended().Open(at(400)))
+	})
+	t.Run("shut after a suspension", func(t *testing.T) {
+		assert.Assert(t, !suspended().Open(at(5000)))
+	})
+	t.Run("also when the tick comes first", func(t *testing.T) {
+		g := suspended()
+		g.Tick(at(5000))
+		assert.Assert(t, !g.Open(at(5001)))
+	})
+	t.Run("a view from before does not open it", func(t *testing.T) {
+		g := suspended()
+		g.Confirm(at(5000), 1)
+		assert.Assert(t, !g.Open(at(5001)))
+	})
+	t.Run("a view that answers a new report does", func(t *testing.T) {
+		g := suspended()
+		g.Tick(at(5000))
+		nonce := g.Report(at(5001))
+		g.Confirm(at(5010), nonce)
+		assert.Assert(t, g.Open(at(5011)))
+	})
+	t.Run("without any steerd it opens in the end", func(t *testing.T) {
+		g := suspended()
+		for ms := 5000; ms <= 8100; ms += 50 {
+			g.Tick(at(ms))
+		}
+		assert.Assert(t, g.Open(at(8101)))
+	})
+}
+
+// claims answers claims as told.
+type claims struct {
+	mu     sync.Mutex
+	answer owner.Claimed
+	err    error
+	asked  int
+}
+
+func (c *claims) Claim(context.Context, *peerpb.Member, model.SiteID) (owner.Claimed, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.asked++
+	return c.answer, c.err
+}
+
+func (c *claims) set(a owner.Claimed, err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.answer, c.err = a, err
+}
+
+var id = model.SiteID{Service: "s", DataCentre: "d"}
+
+func snapshot(t *testing.T, slots int, addresses ...string) *model.Snapshot {
+	t.Helper()
+	spec := `{"service":"s","servers":[`
+	for i, a := range addresses {
+		if i > 0 {
+			spec += ","
+		}
+		spec += fmt.Sprintf(`{"address":%q,"dataCentre":"d","slots":%d}`, a, slots)
+	}
+	var objects []model.Object
+	for _, o := range []struct{ kind, name, spec string }{
+		{"region", "r", `{"dataCentres":["d"],"maxHosts":2}`},
+		{"service", "s", `{"routes":[{"prefix":"/"}],"class":"live","deadlineMillis":1500,"hedgeBudgetPercent":50}`},
+		{"placement", "s", spec + "]}"},
+	} {
+		x, err := model.Parse(o.kind, o.name, []byte(o.spec))
+		assert.NilError(t, err)
+		objects = append(objects, x)
+	}
+	return model.NewSnapshot(objects)
+}
+
+func member(incarnation uint64, host string) *peerpb.Member {
+	return &peerpb.Member{Incarnation: incarnation, Role: peerpb.Role_ROLE_ENTRYD, Host: host, DataCentre: "d", Region: "r"}
+}
+
+// newOwner returns an owner whose clock runs.
+func newOwner(t *testing.T, c owner.Claimer) *owner.Owner {
+	t.Helper()
+	o := owner.New(time.Now(), self, server.NewClient(), c, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	go func() {
+		for t.Context().Err() == nil {
+			o.Tick(time.Now())
+			time.Sleep(20 * time.Millisecond)
+		}
+	}()
+	return o
+}
+
+func eventually(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	for range 1000 {
+		if holds() {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Fatalf("never: %s", what)
+}
+
+func owns(o *owner.Owner) func() bool {
+	return func() bool { _, ok := o.Load(id); return ok }
+}
+
+// backend is a server that holds every request until released, and counts.
+type backend struct {
+	*httptest.Server
+	mu      sync.Mutex
+	now     int
+	most    int
+	total   int
+	release chan struct{}
+	once    sync.Once
+}
+
+func newBackend(t *testing.T, hold bool) *backend {
+	t.Helper()
+	b := &backend{release: make(chan struct{})}
+	if !hold {
+		b.free()
+	}
+	b.Server = httptest.NewServer(b)
+	t.Cleanup(func() { b.free(); b.Close() })
+	return b
+}
+
+// free lets every request go on.
+func (b *backend) free() { b.once.Do(func() { close(b.release) }) }
+
+func (b *backend) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	b.mu.Lock()
+	b.now++
+	b.total++
+	b.most = max(b.most, b.now)
+	b.mu.Unlock()
+	select {
+	case <-b.release:
+	case <-r.Context().Done():
+	}
+	b.mu.Lock()
+	b.now--
+	b.mu.Unlock()
+	w.Header().Set(server.HeaderRequestID, r.Header.Get(server.HeaderRequestID))
+	_, _ = w.Write([]byte("ok"))
+}
+
+func (b *backend) count() (now, total int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.now, b.total
+}
+
+func (b *backend) mostSeen() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.most
+}
+
+func (b *backend) address() string { return b.Listener.Addr().String() }
+
+type sink struct{}
+
+func (sink) Head(flow.Head) error { return nil }
+func (sink) Data([]byte) error    { return nil }
+
+var nextID int
+
+func request(idempotent bool) *flow.Request {
+	nextID++
+	return &flow.Request{
+		ID: fmt.Sprint("id-", nextID), Service: "s", DataCentre: "d", Method: "GET", Path: "/", Header: http.Header{},
+		Body: flow.BytesBody(nil), Deadline: time.Now().Add(5 * time.Second), Source: "r", Idempotent: idempotent, EchoNeeded: true,
+	}
+}
+
+// serveAll sends n requests at once and returns a channel of their ends.
+func serveAll(t *testing.T, o *owner.Owner, n int) <-chan flow.Result {
+	out := make(chan flow.Result, n)
+	for range n {
+		req := request(false)
+		go func() { out <- o.Serve(t.Context(), req, sink{}) }()
+	}
+	return out
+}
+
+func TestOwnership(t *testing.T) {
+	t.Run("who is not first does not dispatch", func(t *testing.T) {
+		o := newOwner(t, &claims{})
+		b := newBackend(t, false)
+		other := member(2, "b")
+		o.Update(t.Context(), time.Now(), snapshot(t, 1, b.address()), []*peerpb.Member{other})
+		r, ok := o.Serve(t.Context(), request(false), sink{}).(flow.Refused)
+		assert.Assert(t, ok && r.Kind == flow.RefusedNotOwner)
+	})
+	t.Run("a previous owner's work holds its slots", func(t *testing.T) {
+		b := newBackend(t, true)
+		c := &claims{answer: owner.Claimed{Owned: true, Servers: []owner.ServerLoad{{Address: b.address(), InFlight: 2}}}}
+		o := newOwner(t, c)
+		o.Update(t.Context(), time.Now(), snapshot(t, 3, b.address()), []*peerpb.Member{member(self, "a"), leaving(member(2, "b"))})
+		eventually(t, "owned", owns(o))
+		done := serveAll(t, o, 3)
+		eventually(t, "one is dispatched", func() bool { n, _ := b.count(); return n == 1 })
+		c.set(owner.Claimed{}, nil)
+		eventually(t, "the rest follow", func() bool { n, _ := b.count(); return n == 3 })
+		b.free()
+		for range 3 {
+			<-done
+		}
+	})
+	t.Run("a silent owner is left half the slots", func(t *testing.T) {
+		b := newBackend(t, true)
+		o := newOwner(t, &claims{err: errors.New("no answer")})
+		o.Update(t.Context(), time.Now(), snapshot(t, 4, b.address()), []*peerpb.Member{member(self, "a"), leaving(member(2, "b"))})
+		eventually(t, "owned", owns(o))
+		done := serveAll(t, o, 4)
+		eventually(t, "half is dispatched", func() bool { n, _ := b.count(); return n == 2 })
+		assert.Assert(t, b.mostSeen() <= 2)
+		eventually(t, "all after the wait", func() bool { n, _ := b.count(); return n == 4 })
+		b.free()
+		for range 4 {
+			<-done
+		}
+	})
+	t.Run("a claim ends dispatch and tells the work", func(t *testing.T) {
+		b := newBackend(t, true)
+		o := newOwner(t, &claims{})
+		o.Update(t.Context(), time.Now(), snapshot(t, 1, b.address()), []*peerpb.Member{member(self, "a"), leaving(member(2, "b"))})
+		eventually(t, "owned", owns(o))
+		done := serveAll(t, o, 2)
+		eventually(t, "one runs, one waits", func() bool { l, _ := o.Load(id); n, _ := b.count(); return n == 1 && l.Queued == 1 })
+		c := o.Claimed(time.Now(), id)
+		assert.Assert(t, c.Owned)
+		assert.DeepEqual(t, c.Servers, []owner.ServerLoad{{Address: b.address(), InFlight: 1}})
+		r, ok := (<-done).(flow.Refused)
+		assert.Assert(t, ok && r.Kind == flow.RefusedNotOwner && r.Outcome == flow.OutcomeNotRun)
+		b.free()
+		_, ok = (<-done).(flow.Whole)
+		assert.Assert(t, ok)
+		assert.Equal(t, len(o.Claimed(time.Now(), id).Servers), 0)
+	})
+}
+
+func leaving(m *peerpb.Member) *peerpb.Member {
+	m.Leaving = true
+	return m
+}
+
+func TestHedge(t *testing.T) {
+	slow, fast := newBackend(t, true), newBackend(t, false)
+	o := newOwner(t, &claims{})
+	o.Update(t.Context(), time.Now(), snapshot(t, 2, slow.address(), fast.address()), []*peerpb.Member{member(self, "a")})
+	eventually(t, "owned", owns(o))
+	for range 10 {
+		res := o.Serve(t.Context(), request(true), sink{})
+		_, ok := res.(flow.Whole)
+		assert.Assert(t, ok, "%#v: a request that a slow server holds is answered by another", res)
+	}
+	eventually(t, "the losers are cancelled", func() bool { n, _ := slow.count(); return n == 0 })
+	_, tries := slow.count()
+	assert.Assert(t, tries <= 5, "a server that is always overtaken was tried %d times of 10", tries)
+	slow.free()
+}
+
+func TestVoidedIsNotDispatched(t *testing.T) {
+	b := newBackend(t, false)
+	o := newOwner(t, &claims{})
+	o.Update(t.Context(), time.Now(), snapshot(t, 1, b.address()), []*peerpb.Member{member(self, "a")})
+	eventually(t, "owned", owns(o))
+	req := request(false)
+	assert.Assert(t, o.Runs().Void(time.Now(), req.ID, req.Deadline))
+	r, ok := o.Serve(t.Context(), req, sink{}).(flow.Refused)
+	assert.Assert(t, ok && r.Kind == flow.RefusedVoided)
+	_, total := b.count()
+	assert.Equal(t, total, 0)
+}
--- a/entryd/pkg/owner/site.go
+++ b/entryd/pkg/owner/site.go
@@ -198,11 +198,18 @@
 	case flow.Broken:
 		e.Ran = true
 		e.Cancelled = ctx.Err() != nil
+		e.Failed = overtaken(sink)
 	}
 	s.end(t, e)
 	return res
 }
 
+// overtaken tells whether a first try lost against the second, which began much later.
+func overtaken(sink flow.Sink) bool {
+	g, ok := sink.(*gate)
+	return ok && g.try == firstTry && g.winner.Load() == secondTry
+}
+
 func (s *Site) end(t *queue.Ticket, e queue.End) {
 	now := time.Now()
 	s.mu.Lock()
--- a/entryd/pkg/queue/queue.go
+++ b/entryd/pkg/queue/queue.go
@@ -334,7 +334,8 @@
 type End struct {
 	// Ran says that the server answered, so that its time counts.
 	Ran bool
-	// Failed says that the server refused the request or could not be reached.
+	// Failed says that the server refused the request, could not be reached, or was so late that a
+	// second try elsewhere answered first.
 	Failed bool
 	// Cancelled says that the request was given up, so that its time says little of the server.
 	Cancelled bool
--- a/entryd/pkg/queue/queue_test.go
+++ b/entryd/pkg/queue/queue_test.go
@@ -44,7 +44,9 @@
 	return q
 }
 
-func live(source string, deadline int) *queue.Ticket { return queue.NewTicket(source, false, at(deadline)) }
+func live(source string, deadline int) *queue.Ticket {
+	return queue.NewTicket(source, false, at(deadline))
+}
 
 func admit(t *testing.T, q *queue.Queue, now int, tickets ...*queue.Ticket) {
 	t.Helper()
--- a/entryd/pkg/server/server.go
+++ b/entryd/pkg/server/server.go
@@ -102,12 +102,24 @@
 // Close implements io.Closer.
 func (onceBody) Close() error { return nil }
 
+// repeatable tells whether the HTTP library would send a request without a body again by itself.
+// Others go without a body, not with an empty one, so that the server sees at once when the
+// connection is closed.
+func repeatable(req *flow.Request) bool {
+	switch req.Method {
+	case http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodTrace:
+		return true
+	default:
+		return req.Header.Get("Idempotency-Key") != "" || req.Header.Get("X-Idempotency-Key") != ""
+	}
+}
+
 func newRequest(ctx context.Context, address string, req *flow.Request) (*http.Request, error) {
 	var body io.Reader
 	if req.Body != nil && req.Body.Size() != 0 {
 		body = onceBody{req.Body.Reader()}
 	}
-	if !req.Idempotent && body == nil {
+	if body == nil && !req.Idempotent && repeatable(req) {
 		body = onceBody{http.NoBody}
 	}
 	r, err := http.NewRequestWithContext(ctx, req.Method, "http://"+address+req.Path, body)
--- /dev/null
+++ b/entryd/pkg/server/server_test.go
@@ -0,0 +1,153 @@
+package server_test
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"rosemarygrade.dev/entryd/pkg/flow"
+	"rosemarygrade.dev/entryd/pkg/server"
+)
+
+// taken is a sink that remembers.
+type taken struct {
+	head *flow.Head
+	body []byte
+}
+
+func (s *taken) Head(h flow.Head) error { s.head = &h; return nil }
+
+func (s *taken) Data(p []byte) error { s.body = append(s.body, p...); return nil }
+
+func request(method, path string, idempotent bool) *flow.Request {
+	return &flow.Request{
+		ID: "id-1", Method: method, Path: path, Header: http.Header{}, Body: flow.BytesBody(nil),
+		Deadline: time.Now().Add(time.Minute), Idempotent: idempotent, EchoNeeded: true,
+	}
+}
+
+// raw serves each connection's requests with fixed bytes, then closes it. An empty answer closes it at once.
+func raw(t *testing.T, answers ...string) (address string, requests *int) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	n := new(int)
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = c.Close() }()
+				buf := make([]byte, 64<<10)
+				for _, a := range answers {
+					if _, err := c.Read(buf); err != nil {
+						return
+					}
+					*n++
+					if _, err := c.Write([]byte(a)); err != nil || a == "" {
+						return
+					}
+				}
+			}()
+		}
+	}()
+	return l.Addr().String(), n
+}
+
+const good = "HTTP/1.1 200 OK\r\nRosemary-Request-Id: id-1\r\n"
+
+func assertWhole(t *testing.T, res flow.Result, got *taken, body string) {
+	t.Helper()
+	_, ok := res.(flow.Whole)
+	assert.Assert(t, ok, "%#v", res)
+	assert.Equal(t, string(got.body), body)
+}
+
+func assertBroken(t *testing.T, res flow.Result, headSent bool) {
+	t.Helper()
+	b, ok := res.(flow.Broken)
+	assert.Assert(t, ok, "%#v", res)
+	assert.Equal(t, b.HeadSent, headSent, b.Reason)
+}
+
+func assertNotRun(t *testing.T, res flow.Result, kind flow.RefusalKind) {
+	t.Helper()
+	r, ok := res.(flow.Refused)
+	assert.Assert(t, ok, "%#v", res)
+	assert.Equal(t, r.Kind, kind)
+	assert.Equal(t, r.Outcome, flow.OutcomeNotRun)
+}
+
+func TestAnswers(t *testing.T) {
+	long := strings.Repeat("x", 100<<10)
+	rows := []struct {
+		name, answer string
+		check        func(t *testing.T, res flow.Result, got *taken)
+	}{
+		{"whole", good + "Content-Length: 2\r\n\r\nok", func(t *testing.T, res flow.Result, got *taken) { assertWhole(t, res, got, "ok") }},
+		{"chunked", good + "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", func(t *testing.T, res flow.Result, got *taken) { assertWhole(t, res, got, "ok") }},
+		{"empty", good + "Content-Length: 0\r\n\r\n", func(t *testing.T, res flow.Result, got *taken) { assertWhole(t, res, got, "") }},
+		{"short", good + "Content-Length: 9\r\n\r\nok", func(t *testing.T, res flow.Result, _ *taken) { assertBroken(t, res, false) }},
+		{"chunked short", good + "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n", func(t *testing.T, res flow.Result, _ *taken) { assertBroken(t, res, false) }},
+		{"long, cut late", good + "Content-Length: 200000\r\n\r\n" + long, func(t *testing.T, res flow.Result, _ *taken) { assertBroken(t, res, true) }},
+		{"more than declared", good + "Content-Length: 2\r\n\r\nokmore", func(t *testing.T, res flow.Result, got *taken) { assertWhole(t, res, got, "ok") }},
+		{"another's", "HTTP/1.1 200 OK\r\nRosemary-Request-Id: id-2\r\nContent-Length: 2\r\n\r\nok", func(t *testing.T, res flow.Result, _ *taken) { assertBroken(t, res, false) }},
+		{"without id", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", func(t *testing.T, res flow.Result, _ *taken) { assertBroken(t, res, false) }},
+		{"garbage", "\x00\x01\x02\r\n\r\n", func(t *testing.T, res flow.Result, _ *taken) { assertBroken(t, res, false) }},
+		{"closed", "", func(t *testing.T, res flow.Result, _ *taken) { assertBroken(t, res, false) }},
+		{"shed", "HTTP/1.1 503 x\r\nRosemary-Not-Run: true\r\nContent-Length: 0\r\n\r\n", func(t *testing.T, res flow.Result, _ *taken) { assertNotRun(t, res, flow.RefusedShed) }},
+		{"overloaded without the mark", "HTTP/1.1 503 x\r\nRosemary-Request-Id: id-1\r\nContent-Length: 2\r\n\r\nno", func(t *testing.T, res flow.Result, got *taken) { assertWhole(t, res, got, "no") }},
+	}
+	for _, r := range rows {
+		t.Run(r.name, func(t *testing.T) {
+			address, _ := raw(t, r.answer)
+			got := &taken{}
+			r.check(t, server.NewClient().Do(t.Context(), address, request("POST", "/", false), got), got)
+		})
+	}
+	t.Run("nobody listens", func(t *testing.T) {
+		assertNotRun(t, server.NewClient().Do(t.Context(), "127.0.0.1:1", request("POST", "/", false), &taken{}), flow.RefusedConnect)
+	})
+	t.Run("late", func(t *testing.T) {
+		s := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }))
+		defer s.Close()
+		ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+		defer cancel()
+		assertBroken(t, server.NewClient().Do(ctx, s.Listener.Addr().String(), request("POST", "/", false), &taken{}), false)
+	})
+}
+
+// The HTTP library sends some requests again by itself when a used connection closes. A request
+// that may run at most once must not be.
+func TestNoSilentRepeat(t *testing.T) {
+	rows := []struct {
+		name string
+		req  *flow.Request
+		key  string
+	}{
+		{"GET", request("GET", "/", false), ""},
+		{"POST", request("POST", "/", false), ""},
+		{"POST with an idempotency key", request("POST", "/", false), "k"},
+	}
+	for _, r := range rows {
+		t.Run(r.name, func(t *testing.T) {
+			address, n := raw(t, good+"Content-Length: 2\r\n\r\nok", "")
+			c := server.NewClient()
+			assertWhole(t, c.Do(t.Context(), address, request("GET", "/", true), &taken{}), &taken{body: []byte("ok")}, "ok")
+			if r.key != "" {
+				r.req.Header.Set("Idempotency-Key", r.key)
+			}
+			assertBroken(t, c.Do(t.Context(), address, r.req, &taken{}), false)
+			assert.Equal(t, *n, 2)
+		})
+	}
+}
--- a/standin/pkg/bksrv/bksrv.go
+++ b/standin/pkg/bksrv/bksrv.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"strconv"
 	"sync"
@@ -56,8 +57,8 @@
 	InFlight int `json:"inFlight"`
 	// MaxInFlight is the largest number of requests at once.
 	MaxInFlight int `json:"maxInFlight"`
-	// Cut counts requests whose connection went away before the answer was whole.
-	Cut int `json:"cut"`
+	// Cuts counts, by the caller's token, requests whose connection went away before the answer was whole.
+	Cuts map[string]int `json:"cuts"`
 	// LastStartUnixMillis is when the last request began.
 	LastStartUnixMillis int64 `json:"lastStartUnixMillis"`
 }
@@ -75,7 +76,7 @@
 
 // New returns a server whose requests take the service time.
 func New(name string, service time.Duration) *Server {
-	return &Server{name: name, service: service, changed: make(chan struct{}), witness: Witness{Runs: map[string]int{}}}
+	return &Server{name: name, service: service, changed: make(chan struct{}), witness: Witness{Runs: map[string]int{}, Cuts: map[string]int{}}}
 }
 
 // SetFaults switches faults.
@@ -92,10 +93,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	w := s.witness
-	w.Runs = make(map[string]int, len(s.witness.Runs))
-	for k, v := range s.witness.Runs {
-		w.Runs[k] = v
-	}
+	w.Runs, w.Cuts = maps.Clone(s.witness.Runs), maps.Clone(s.witness.Cuts)
 	return w
 }
 
@@ -132,7 +130,7 @@
 	s.begin(r)
 	defer s.end()
 	if !s.work(r, f) {
-		s.cut()
+		s.cut(r)
 		return
 	}
 	if f.Reset {
@@ -167,10 +165,10 @@
 	s.witness.InFlight--
 }
 
-func (s *Server) cut() {
+func (s *Server) cut(r *http.Request) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.witness.Cut++
+	s.witness.Cuts[r.Header.Get(HeaderToken)]++
 }
 
 // work takes the time of the request and returns whether the caller still waits.
@@ -242,7 +240,7 @@
 		s.long(w, out)
 	default:
 		if _, err := w.Write(out); err != nil {
-			s.cut()
+			s.cut(r)
 		}
 	}
 }
