Divide a site by what its own region leaves of the slots

The reserve was reckoned in held places (up to 54) against slots (6), so other regions' requests were admitted and then never dispatched; they held the places that the own region needed. Ruled out: the slowed servers' own lack (85% of the capacity was left), health (both slowed servers stand in one data centre, so they are each other's median). Change: other regions get the slots that the own region left free over the last two seconds, three places for each such slot, and leave one slot in ten free.

--- a/entryd/cmds/cmds.go
+++ b/entryd/cmds/cmds.go
@@ -52,6 +52,7 @@
 const (
 	tickEvery = 50 * time.Millisecond
 	slowEvery = 500 * time.Millisecond
+	lendEvery = 150 * time.Millisecond
 )
 
 func run(ctx context.Context, s *Settings, layers string) error {
@@ -73,6 +74,7 @@
 	g.Go(p.steer.Run)
 	g.Every(tickEvery, p.tick)
 	g.Every(slowEvery, p.slowTick)
+	g.Every(lendEvery, p.lend)
 	g.Go(func(life context.Context) error {
 		select {
 		case <-ctx.Done():
--- a/entryd/pkg/caller/caller.go
+++ b/entryd/pkg/caller/caller.go
@@ -38,6 +38,9 @@
 // writeStall is how long a caller may take no byte of its answer.
 const writeStall = 30 * time.Second
 
+// readGrace is how much later than its deadline a request's body may end.
+const readGrace = 100 * time.Millisecond
+
 // maxPath is the longest path and query that is taken.
 const maxPath = 8 << 10
 
@@ -90,8 +93,13 @@
 	id := uuid.NewString()
 	w.Header().Set(server.HeaderRequestID, id)
 	out := &sink{w: w, control: http.NewResponseController(w)}
-	req, svc, refused := s.read(r, id)
+	req, svc, refused := s.read(out.control, r, id)
 	if refused != nil {
+		if r.ContentLength != 0 {
+			// The HTTP library reads the rest of a body before it answers, unless the connection
+			// is to be closed; a caller that stalls would never see its answer.
+			w.Header().Set("Connection", "close")
+		}
 		s.refuse(out, id, *refused)
 		return
 	}
@@ -101,7 +109,7 @@
 }
 
 // read checks a request and turns it into its internal form.
-func (s *Server) read(r *http.Request, id string) (*flow.Request, *model.Service, *flow.Refused) {
+func (s *Server) read(control *http.ResponseController, r *http.Request, id string) (*flow.Request, *model.Service, *flow.Refused) {
 	if s.stopping.Load() {
 		return nil, nil, turned(flow.RefusedStopping, "the host is stopping; ask for another one")
 	}
@@ -123,6 +131,8 @@
 	if refused != nil {
 		return nil, nil, refused
 	}
+	// A caller that stalls in its body must not hold the request past its deadline.
+	_ = control.SetReadDeadline(deadline.Add(readGrace))
 	body, refused := readBody(r, svc, route)
 	if refused != nil {
 		return nil, nil, refused
--- a/entryd/pkg/entry/client.go
+++ b/entryd/pkg/entry/client.go
@@ -175,6 +175,25 @@
 	}}, nil
 }
 
+// Lend sends an offer for the link to a region to its keeper.
+func (c *Client) Lend(ctx context.Context, p *peerpb.Member, to string, o links.Offer) (links.Reply, error) {
+	client, err := c.data(p, classControl)
+	if err != nil {
+		return links.Reply{}, err
+	}
+	resp, err := client.Lend(ctx, &peerpb.LendRequest{
+		Incarnation: o.Host, ToRegion: to, Token: o.Token,
+		LentBytesPerSecond: uint64(o.Lent), WantedBytesPerSecond: uint64(o.Wanted),
+	})
+	if err != nil {
+		return links.Reply{}, fault.Wrap("lend", KindPeer, err)
+	}
+	return links.Reply{
+		Token: resp.GetToken(), Granted: float64(resp.GetGrantedBytesPerSecond()),
+		Lease: time.Duration(resp.GetLeaseMillis()) * time.Millisecond,
+	}, nil
+}
+
 // inheritPiece is how many records one message carries.
 const inheritPiece = 200
 
--- a/entryd/pkg/entry/server.go
+++ b/entryd/pkg/entry/server.go
@@ -178,6 +178,17 @@
 	}, nil
 }
 
+// Lend implements the Data service.
+func (s *Server) Lend(_ context.Context, req *peerpb.LendRequest) (*peerpb.LendResponse, error) {
+	r := s.links.Lend(time.Now(), req.GetToRegion(), links.Offer{
+		Host: req.GetIncarnation(), Token: req.GetToken(),
+		Lent: float64(req.GetLentBytesPerSecond()), Wanted: float64(req.GetWantedBytesPerSecond()),
+	})
+	return &peerpb.LendResponse{
+		Token: r.Token, GrantedBytesPerSecond: uint64(r.Granted), LeaseMillis: uint32(r.Lease.Milliseconds()),
+	}, nil
+}
+
 // Inherit implements the Data service.
 func (s *Server) Inherit(_ context.Context, req *peerpb.InheritRequest) (*peerpb.InheritResponse, error) {
 	s.handler.Inherit(req)
--- a/entryd/pkg/links/bucket.go
+++ b/entryd/pkg/links/bucket.go
@@ -135,3 +135,8 @@
 	}
 	return n
 }
+
+// Sent returns how many bytes were granted to each class.
+func (b *Bucket) Sent() (live, background int) {
+	return int(b.sent[Live]), int(b.sent[Background])
+}
--- a/entryd/pkg/links/links.go
+++ b/entryd/pkg/links/links.go
@@ -19,16 +19,10 @@
 	bucket *Bucket
 	timer  *time.Timer
 	limit  float64
-	hosts  int
-	grant  Grant
-	floor  float64
-}
-
-// Grant is what a host may use besides, or has to do without, until it ends.
-type Grant struct {
-	// Extra is bytes a second above the own share; a negative one is lent to others.
-	Extra float64
-	Until time.Time
+	share  *Share
+	pool   *Pool
+	sentAt time.Time
+	sent   uint64
 }
 
 // New returns the links of a host in the region.
@@ -47,46 +41,94 @@
 	for _, link := range r.Links() {
 		named[link.To()] = true
 		p := l.path(now, link.To())
-		p.limit, p.hosts = float64(link.BytesPerSecond()), r.MaxHosts()
-		p.floor = Share(link.BytesPerSecond(), r.MaxHosts())
+		p.limit = float64(link.BytesPerSecond())
+		p.share.SetOwn(OwnShare(link.BytesPerSecond(), r.MaxHosts()))
 		p.apply(now)
 	}
 	for to, p := range l.paths {
-		if !named[to] && p.floor > 0 {
-			p.limit, p.floor = 0, 0
+		if !named[to] && p.limit > 0 {
+			p.limit = 0
+			p.share.SetOwn(0)
 			p.apply(now)
 		}
 	}
 }
 
-// Share returns a host's own share of a link in bytes a second.
-func Share(limit int64, hosts int) float64 { return usable * float64(limit) / float64(max(1, hosts)) }
+// OwnShare returns a host's own share of a link in bytes a second.
+func OwnShare(limit int64, hosts int) float64 {
+	return usable * float64(limit) / float64(max(1, hosts))
+}
 
 func (l *Links) path(now time.Time, to string) *path {
 	p := l.paths[to]
 	if p == nil {
-		p = &path{bucket: NewBucket(now, 0)}
+		p = &path{bucket: NewBucket(now, 0), share: NewShare(0), pool: NewPool(now), sentAt: now}
 		l.paths[to] = p
 	}
 	return p
 }
 
 func (p *path) apply(now time.Time) {
-	rate := p.floor
-	if now.Before(p.grant.Until) {
-		rate += p.grant.Extra
+	p.bucket.SetRate(now, p.share.Rate(now))
+}
+
+// Rules of what a host lends and wants.
+const (
+	// keepShare is the part of its own share that a host never lends, for live work that comes at once.
+	keepShare = 0.25
+	// needMargin is how much more than its recent use a host keeps.
+	needMargin = 1.5
+)
+
+// need returns what the host lends and wants on a link, from its use since the last call.
+func (p *path) need(now time.Time) (lent, wanted float64) {
+	sent := p.bucket.sent[Live] + p.bucket.sent[Background]
+	waiting := p.bucket.Waiting(Live) + p.bucket.Waiting(Background)
+	used := 0.0
+	if d := now.Sub(p.sentAt).Seconds(); d > 0 {
+		used = float64(sent-p.sent) / d
+	}
+	p.sent, p.sentAt = sent, now
+	if waiting > 0 {
+		return 0, p.limit
+	}
+	return max(0, p.share.own-max(keepShare*p.share.own, needMargin*used)), 0
+}
+
+// Offers returns what to tell the keeper of each link. KeeperOf names the keeper of the link to a region.
+func (l *Links) Offers(now time.Time, host uint64, keeperOf func(to string) uint64) map[string]Offer {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	out := map[string]Offer{}
+	for to, p := range l.paths {
+		keeper := keeperOf(to)
+		if p.limit <= 0 || keeper == 0 {
+			continue
+		}
+		lent, wanted := p.need(now)
+		out[to] = p.share.Offer(now, host, keeper, lent, wanted)
+		p.apply(now)
 	}
-	p.bucket.SetRate(now, max(0, rate))
+	return out
 }
 
-// SetGrant changes what the host may use on the link to a region until the grant ends.
-func (l *Links) SetGrant(now time.Time, to string, g Grant) {
+// Take takes in a keeper's answer to an offer that was sent at a time.
+func (l *Links) Take(sent time.Time, to string, keeper uint64, r Reply) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	now := time.Now()
 	p := l.path(now, to)
-	p.grant = g
+	p.share.Take(sent, keeper, r)
 	p.apply(now)
 	p.bucket.Advance(now)
+	l.arm(p, now)
+}
+
+// Lend serves a host's offer as the keeper of the link to a region.
+func (l *Links) Lend(now time.Time, to string, o Offer) Reply {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.path(now, to).pool.Lend(now, o)
 }
 
 // Tick ends grants whose time is over.
@@ -94,10 +136,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, p := range l.paths {
-		if p.grant.Extra != 0 && !now.Before(p.grant.Until) {
-			p.grant = Grant{}
-			p.apply(now)
-		}
+		p.apply(now)
 		p.bucket.Advance(now)
 	}
 }
--- a/entryd/pkg/queue/queue.go
+++ b/entryd/pkg/queue/queue.go
@@ -157,6 +157,8 @@
 // Capacity returns how many requests the site holds at most, waiting ones included.
 func (q *Queue) Capacity() int { return q.slots * (1 + queueFactor) }
 
+func (q *Queue) size() quota.Size { return quota.Size{Slots: q.slots, Capacity: q.Capacity()} }
+
 // Admit takes in a request or returns why not.
 func (q *Queue) Admit(now time.Time, t *Ticket) *flow.Refused {
 	if q.slots == 0 {
@@ -168,7 +170,7 @@
 	if wait := q.estimate(t); now.Add(wait).After(t.deadline) {
 		return q.refuse(flow.RefusedLate, "the request would miss its deadline in the queue")
 	}
-	if !q.quota.Admit(now, t.source, q.Capacity()) {
+	if !q.quota.Admit(now, t.source, q.size()) {
 		return q.refuse(flow.RefusedQuota, "the share of the region is used up")
 	}
 	q.nextID++
@@ -231,7 +233,7 @@
 // nextClass returns the class whose first request goes next, or -1: live before background, then
 // the earliest deadline.
 func (q *Queue) nextClass(now time.Time) int {
-	remoteOpen := q.remote < q.quota.RemoteSlots(now, q.slots)
+	remoteOpen := q.quota.RemoteOpen(now, q.slots, q.remote, q.busy())
 	if class := q.earliest(liveOwn, liveRemote, remoteOpen); class >= 0 {
 		return class
 	}
@@ -307,6 +309,7 @@
 	if t.source != q.own {
 		q.remote++
 	}
+	q.quota.Busy(now, q.inFlight-q.remote)
 	if t.background {
 		q.background++
 	}
@@ -321,7 +324,7 @@
 		}
 	}
 	s := q.freeServer(now, t.server)
-	if s == nil || q.health.States()[s.address] != "" || !q.quota.Admit(now, t.source, q.Capacity()) {
+	if s == nil || q.health.States()[s.address] != "" || !q.quota.Admit(now, t.source, q.size()) {
 		return nil
 	}
 	q.nextID++
@@ -353,6 +356,7 @@
 	if t.source != q.own {
 		q.remote--
 	}
+	q.quota.Busy(now, q.inFlight-q.remote)
 	if t.background {
 		q.background--
 	}
--- a/entryd/pkg/quota/quota.go
+++ b/entryd/pkg/quota/quota.go
@@ -1,6 +1,6 @@
-// Package quota divides a site between the regions that send it work. The site's own region keeps
-// a reserve that follows its recent use; the rest is shared among the regions that send. All
-// shares together never exceed the capacity, whatever the senders believe.
+// Package quota divides a site between the regions that send it work. Other regions get what the
+// site's own region has left of the slots lately; the shares of all never exceed the capacity,
+// whatever the senders believe.
 package quota
 
 import (
@@ -10,12 +10,14 @@
 
 // Rules of the division.
 const (
-	// minReserve is the least share that the own region keeps.
+	// minReserve is the least share of slots that other regions leave free.
 	minReserve = 0.1
-	// reserveMargin is how much above its recent peak the own region keeps.
-	reserveMargin = 1.25
-	// peakHalfLife is the time in which an old peak counts half.
-	peakHalfLife = 5 * time.Second
+	// useMargin is how much more than its recent use the own region keeps.
+	useMargin = 1.1
+	// useTime is the time over which the own region's use is averaged.
+	useTime = 2 * time.Second
+	// remoteQueue is how many requests of other regions may be held for each slot left to them.
+	remoteQueue = 3
 	// activeFor is how long a silent region still counts as sending.
 	activeFor = 5 * time.Second
 	// rampFloor is the share at which traffic new to the site begins.
@@ -32,12 +34,23 @@
 	latencyWeight = 0.1
 )
 
+// Size is what a site can hold.
+type Size struct {
+	// Slots is how many requests run at once.
+	Slots int
+	// Capacity is how many requests the site holds, waiting ones included.
+	Capacity int
+}
+
 // Quota is not safe for concurrent use.
 type Quota struct {
 	own     string
 	sources map[string]*source
-	peak    float64
-	peakAt  time.Time
+	held    int
+	remote  int
+	busy    int
+	use     float64
+	usedAt  time.Time
 }
 
 type source struct {
@@ -64,59 +77,72 @@
 }
 
 // Admit takes a place for a request from the region, if the capacity and the shares allow it.
-func (q *Quota) Admit(now time.Time, region string, capacity int) bool {
+func (q *Quota) Admit(now time.Time, region string, size Size) bool {
 	s := q.source(now, region)
 	s.lastAt = now
-	if q.held() >= capacity {
+	if q.held >= size.Capacity {
 		return false
 	}
-	if region != q.own && s.held >= q.Limit(now, region, capacity) {
-		return false
+	if region != q.own {
+		if q.remote >= q.places(now, size) || s.held >= q.Limit(now, region, size) {
+			return false
+		}
+		q.remote++
 	}
+	q.held++
 	s.held++
-	if region == q.own {
-		q.notePeak(now, float64(s.held))
-	}
 	return true
 }
 
 // Leave gives a place back.
 func (q *Quota) Leave(now time.Time, region string) {
-	if region == q.own {
-		q.notePeak(now, float64(q.source(now, region).held))
-	}
 	q.source(now, region).held--
+	q.held--
+	if region != q.own {
+		q.remote--
+	}
 }
 
-func (q *Quota) notePeak(now time.Time, held float64) {
-	q.peak = max(held, q.peakNow(now))
-	q.peakAt = now
+// Busy says how many slots the own region's requests fill from now on.
+func (q *Quota) Busy(now time.Time, slots int) {
+	q.use, q.usedAt, q.busy = q.useNow(now), now, slots
 }
 
-func (q *Quota) peakNow(now time.Time) float64 {
-	if q.peak == 0 {
+// useNow returns the mean number of slots that the own region filled lately.
+func (q *Quota) useNow(now time.Time) float64 {
+	if q.usedAt.IsZero() {
 		return 0
 	}
-	halves := float64(now.Sub(q.peakAt)) / float64(peakHalfLife)
-	return q.peak * math.Exp2(-halves)
+	old := math.Exp(-float64(now.Sub(q.usedAt)) / float64(useTime))
+	return q.use*old + float64(q.busy)*(1-old)
 }
 
-// Reserve returns how many of the capacity the own region keeps.
-func (q *Quota) Reserve(now time.Time, capacity int) int {
-	want := max(minReserve*float64(capacity), q.peakNow(now)*reserveMargin)
-	return min(capacity, int(math.Ceil(want)))
+// Spare returns how many slots the own region leaves to others.
+func (q *Quota) Spare(now time.Time, slots int) float64 {
+	kept := max(float64(reserve(slots)), q.useNow(now)*useMargin)
+	return max(0, float64(slots)-kept)
+}
+
+// reserve returns how many slots other regions leave free. A site of one slot has none to keep.
+func reserve(slots int) int {
+	return min(slots-1, int(math.Ceil(minReserve*float64(slots))))
+}
+
+// places returns how many requests all other regions together may hold.
+func (q *Quota) places(now time.Time, size Size) int {
+	return min(size.Capacity, int(math.Ceil(remoteQueue*q.Spare(now, size.Slots))))
 }
 
 // Limit returns how many places another region may hold at once.
-func (q *Quota) Limit(now time.Time, region string, capacity int) int {
-	open := capacity - q.Reserve(now, capacity)
-	share := float64(open) / float64(max(1, q.active(now)))
-	return max(0, int(share*q.ramped(now, q.source(now, region))))
+func (q *Quota) Limit(now time.Time, region string, size Size) int {
+	share := float64(q.places(now, size)) / float64(max(1, q.active(now)))
+	return int(math.Ceil(share * q.ramped(now, q.source(now, region))))
 }
 
-// RemoteSlots returns how many of the slots all other regions together may fill.
-func (q *Quota) RemoteSlots(now time.Time, slots int) int {
-	return slots - q.Reserve(now, slots)
+// RemoteOpen tells whether a request of another region may be dispatched, where so many slots are
+// filled by other regions and so many by all.
+func (q *Quota) RemoteOpen(now time.Time, slots, remote, all int) bool {
+	return float64(remote) < math.Ceil(q.Spare(now, slots)) && all < slots-reserve(slots)
 }
 
 func (q *Quota) active(now time.Time) int {
@@ -152,14 +178,6 @@
 	s.latency += latencyWeight * (float64(took) - s.latency)
 }
 
-func (q *Quota) held() int {
-	n := 0
-	for _, s := range q.sources {
-		n += s.held
-	}
-	return n
-}
-
 // Held returns how many places each region holds.
 func (q *Quota) Held() map[string]int {
 	out := make(map[string]int, len(q.sources))
