--- a/entryd/cmds/cmds.go
+++ b/entryd/cmds/cmds.go
@@ -67,7 +67,7 @@
 	// The parts outlive the signal: a planned stop ends them only when nothing is left.
 	g := serve.NewGroup(context.WithoutCancel(ctx))
 	g.HTTP(listeners[0], p.caller.Handler())
-	rpc := peer.NewServer()
+	rpc := pool.NewServer()
 	peerpb.RegisterDataServer(rpc, p.data)
 	g.GRPC(listeners[1], rpc)
 	g.HTTP(listeners[2], adminHandler(p))
--- a/entryd/cmds/process.go
+++ b/entryd/cmds/process.go
@@ -74,6 +74,8 @@
 	expvar.Publish("requestsUnknown", expvar.Func(func() any { return p.caller.Counts().Unknown.Load() }))
 	expvar.Publish("requestsBroken", expvar.Func(func() any { return p.caller.Counts().Broken.Load() }))
 	expvar.Publish("requestsInFlight", expvar.Func(func() any { return p.caller.InFlight() }))
+	expvar.Publish("peerBytesIn", expvar.Func(func() any { return p.pool.Traffic().In() }))
+	expvar.Publish("peerBytesOut", expvar.Func(func() any { return p.pool.Traffic().Out() }))
 	expvar.Publish("runRecords", expvar.Func(func() any { return p.book.Len() }))
 	expvar.Publish("links", expvar.Func(func() any { return p.links.Usages() }))
 	expvar.Publish("shifts", expvar.Func(func() any { return p.proxy.Ledger().Counts() }))
--- /dev/null
+++ b/entryd/pkg/record/scale_bench_test.go
@@ -0,0 +1,48 @@
+package record_test
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+
+	"rosemarygrade.dev/entryd/pkg/flow"
+	"rosemarygrade.dev/entryd/pkg/record"
+)
+
+// BenchmarkRecords measures the memory of kept keys with answers of 200 bytes, and the time of one.
+func BenchmarkRecords(b *testing.B) {
+	for _, n := range []int{10_000, 50_000, 100_000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			before := heap()
+			book := record.NewBook(start, incarnation)
+			for i := range n {
+				run(b, book, fmt.Sprintf("random-%d", i))
+			}
+			size := (heap() - before) / float64(n)
+			i := 0
+			for b.Loop() {
+				i++
+				run(b, book, fmt.Sprintf("more-random-%d", i))
+			}
+			b.ReportMetric(size, "B/key")
+			runtime.KeepAlive(book)
+		})
+	}
+}
+
+func run(b *testing.B, book *record.Book, random string) {
+	k, err := record.Parse(fmt.Sprintf("%x-%d-%s", incarnation, start.Unix()/60, random))
+	if err != nil {
+		b.Fatal(err)
+	}
+	if f, ok := book.Begin(start, k, digest).(record.Fresh); ok {
+		book.Finish(f.Record, flow.OutcomeRan, flow.Refused{}, record.Answer{Status: 200, Body: make([]byte, 200), Kept: true})
+	}
+}
+
+func heap() float64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return float64(m.HeapAlloc)
+}
--- /dev/null
+++ b/lib/pkg/help/help.go
@@ -0,0 +1,36 @@
+// Package help turns the help of commands into one page of documentation.
+package help
+
+import (
+	"bytes"
+
+	"github.com/spf13/cobra"
+	"github.com/spf13/cobra/doc"
+)
+
+// Markdown returns the help of a command and of all commands below it.
+func Markdown(cmd *cobra.Command) (string, error) {
+	cmd.DisableAutoGenTag = true
+	cmd.InitDefaultHelpFlag()
+	var b bytes.Buffer
+	if err := doc.GenMarkdownCustom(cmd, &b, func(link string) string { return "#" + anchor(link) }); err != nil {
+		return "", err
+	}
+	for _, c := range cmd.Commands() {
+		if !c.IsAvailableCommand() || c.IsAdditionalHelpTopicCommand() {
+			continue
+		}
+		page, err := Markdown(c)
+		if err != nil {
+			return "", err
+		}
+		b.WriteString(page)
+	}
+	return b.String(), nil
+}
+
+// anchor turns the file name that the generator links to into a heading on the same page.
+func anchor(link string) string {
+	name := bytes.TrimSuffix([]byte(link), []byte(".md"))
+	return string(bytes.ReplaceAll(name, []byte("_"), []byte("-")))
+}
--- a/lib/pkg/member/member.go
+++ b/lib/pkg/member/member.go
@@ -5,6 +5,7 @@
 import (
 	"cmp"
 	"encoding/binary"
+	"maps"
 	"slices"
 	"time"
 
@@ -26,11 +27,21 @@
 // late word of a peer does not bring it back.
 const forgetAfter = 20
 
+// item is a member as last heard. The record is never changed, so that it can be shared; its seq
+// stands beside it.
 type item struct {
 	member   *peerpb.Member
+	seq      uint64
 	advanced time.Time
 }
 
+// record returns the full record with its present seq.
+func (it *item) record() *peerpb.Member {
+	m := proto.CloneOf(it.member)
+	m.Seq = it.seq
+	return m
+}
+
 type centre struct {
 	summary  *peerpb.Centre
 	advanced time.Time
@@ -63,17 +74,15 @@
 	}
 	it := t.items[m.GetIncarnation()]
 	if it == nil {
-		t.items[m.GetIncarnation()] = &item{member: proto.CloneOf(m), advanced: now}
+		t.items[m.GetIncarnation()] = &item{member: proto.CloneOf(m), seq: m.GetSeq(), advanced: now}
 		t.version++
 		return
 	}
-	if m.GetSeq() > it.member.GetSeq() {
+	if m.GetSeq() > it.seq {
 		t.advance(now, it, m.GetSeq())
 	}
 	if m.GetRevision() > it.member.GetRevision() {
-		seq := max(it.member.GetSeq(), m.GetSeq())
 		it.member = proto.CloneOf(m)
-		it.member.Seq = seq
 		t.version++
 	}
 }
@@ -82,7 +91,7 @@
 	if now.Sub(it.advanced) >= t.timing.Dead {
 		t.version++
 	}
-	it.member.Seq = seq
+	it.seq = seq
 	it.advanced = now
 }
 
@@ -101,7 +110,7 @@
 			continue
 		}
 		b.Incarnations = append(b.Incarnations, inc)
-		b.Seqs = append(b.Seqs, it.member.GetSeq())
+		b.Seqs = append(b.Seqs, it.seq)
 		b.Revisions = append(b.Revisions, it.member.GetRevision())
 	}
 	return b
@@ -121,7 +130,7 @@
 			wanted = append(wanted, inc)
 			continue
 		}
-		if b.Seqs[i] > it.member.GetSeq() {
+		if b.Seqs[i] > it.seq {
 			t.advance(now, it, b.Seqs[i])
 		}
 		if b.Revisions[i] > it.member.GetRevision() {
@@ -131,7 +140,7 @@
 	for inc, it := range t.items {
 		rev, known := peer[inc]
 		if t.alive(now, it) && (!known || rev < it.member.GetRevision()) {
-			lacking = append(lacking, proto.CloneOf(it.member))
+			lacking = append(lacking, it.record())
 		}
 	}
 	return wanted, lacking
@@ -142,7 +151,7 @@
 	var out []*peerpb.Member
 	for _, inc := range incarnations {
 		if it := t.items[inc]; it != nil {
-			out = append(out, proto.CloneOf(it.member))
+			out = append(out, it.record())
 		}
 	}
 	return out
@@ -162,7 +171,8 @@
 }
 
 // LocalLive returns the live members of the own data centre, sorted by host and role. Where
-// two incarnations of a process seem alive, only the one heard last counts.
+// two incarnations of a process seem alive, only the one heard last counts. The records are
+// shared: callers do not change them.
 func (t *Table) LocalLive(now time.Time) []*peerpb.Member {
 	type slot struct {
 		host string
@@ -199,16 +209,16 @@
 	})
 }
 
-// Live returns every live member, those of other data centres from their summaries. The
-// members are shared: callers do not change them.
+// Live returns every live member, the own data centre's first, those of others from their
+// summaries, by data centre. The members are shared: callers do not change them.
 func (t *Table) Live(now time.Time) []*peerpb.Member {
 	out := t.LocalLive(now)
-	for dc, c := range t.centres {
+	for _, dc := range slices.Sorted(maps.Keys(t.centres)) {
+		c := t.centres[dc]
 		if dc != t.dataCentre && now.Sub(c.advanced) < t.timing.CentreDead {
 			out = append(out, c.summary.GetMembers()...)
 		}
 	}
-	sortMembers(out)
 	return out
 }
 
@@ -216,7 +226,7 @@
 func (t *Table) Summarize(now time.Time, configHash uint64) *peerpb.Centre {
 	live := t.LocalLive(now)
 	c := &peerpb.Centre{
-		DataCentre: t.dataCentre, Stamp: 1, Hash: membersHash(live),
+		DataCentre: t.dataCentre, Stamp: 1, Hash: Hash(live),
 		ConfigHash: configHash, Total: uint32(len(live)),
 	}
 	for _, m := range live {
@@ -235,8 +245,9 @@
 	return c
 }
 
-// membersHash covers what other data centres need to know of members.
-func membersHash(members []*peerpb.Member) uint64 {
+// Hash covers what others need to know of members: all else of a record stays the same for as long
+// as its process lives.
+func Hash(members []*peerpb.Member) uint64 {
 	d := xxhash.New()
 	for _, m := range members {
 		var b [9]byte
--- a/lib/pkg/peer/peer.go
+++ b/lib/pkg/peer/peer.go
@@ -39,8 +39,9 @@
 // Pool holds one connection for each address and class, and is safe for concurrent use. Classes
 // keep long answers from delaying short ones on the same connection.
 type Pool struct {
-	mu    sync.Mutex
-	conns map[poolKey]*grpc.ClientConn
+	traffic Traffic
+	mu      sync.Mutex
+	conns   map[poolKey]*grpc.ClientConn
 }
 
 type poolKey struct {
@@ -51,6 +52,9 @@
 // NewPool returns an empty pool.
 func NewPool() *Pool { return &Pool{conns: map[poolKey]*grpc.ClientConn{}} }
 
+// Traffic returns the counts of the pool's connections and of the servers made by it.
+func (p *Pool) Traffic() *Traffic { return &p.traffic }
+
 // Conn returns the connection of the class to an address. It connects when it is first used.
 func (p *Pool) Conn(address, class string) (*grpc.ClientConn, error) {
 	p.mu.Lock()
@@ -59,7 +63,7 @@
 	if c := p.conns[key]; c != nil {
 		return c, nil
 	}
-	c, err := grpc.NewClient("passthrough:///"+address, dialOptions()...)
+	c, err := grpc.NewClient("passthrough:///"+address, p.dialOptions()...)
 	if err != nil {
 		return nil, fault.Wrap("connect", KindAddress, err)
 	}
@@ -67,10 +71,11 @@
 	return c, nil
 }
 
-func dialOptions() []grpc.DialOption {
+func (p *Pool) dialOptions() []grpc.DialOption {
 	return []grpc.DialOption{
 		grpc.WithTransportCredentials(insecure.NewCredentials()),
 		grpc.WithNoProxy(),
+		grpc.WithStatsHandler(meter{&p.traffic}),
 		grpc.WithDisableServiceConfig(),
 		grpc.WithDisableRetry(),
 		grpc.WithInitialWindowSize(windowBytes),
@@ -99,9 +104,11 @@
 // Close closes every connection.
 func (p *Pool) Close() { p.Keep(nil) }
 
-// NewServer returns a gRPC server with the limits that the pool's clients expect.
-func NewServer() *grpc.Server {
+// NewServer returns a gRPC server with the limits that the pool's clients expect. Its bytes count
+// as the pool's.
+func (p *Pool) NewServer() *grpc.Server {
 	return grpc.NewServer(
+		grpc.StatsHandler(meter{&p.traffic}),
 		grpc.InitialWindowSize(windowBytes),
 		grpc.InitialConnWindowSize(windowBytes),
 		grpc.MaxRecvMsgSize(maxMessageBytes),
--- a/standin/pkg/bksrv/bksrv.go
+++ b/standin/pkg/bksrv/bksrv.go
@@ -88,6 +88,13 @@
 	s.changed = make(chan struct{})
 }
 
+// SetServiceTime changes how long requests take.
+func (s *Server) SetServiceTime(d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.service = d
+}
+
 // Witness returns what the server saw.
 func (s *Server) Witness() Witness {
 	s.mu.Lock()
@@ -173,7 +180,7 @@
 
 // work takes the time of the request and returns whether the caller still waits.
 func (s *Server) work(r *http.Request, f Faults) bool {
-	d := s.service + time.Duration(f.DelayMillis)*time.Millisecond
+	d := s.serviceTime() + time.Duration(f.DelayMillis)*time.Millisecond
 	if v, err := strconv.Atoi(r.URL.Query().Get("millis")); err == nil {
 		d = time.Duration(v) * time.Millisecond
 	}
@@ -189,6 +196,12 @@
 	return s.waitStall(r)
 }
 
+func (s *Server) serviceTime() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.service
+}
+
 func (s *Server) waitStall(r *http.Request) bool {
 	for {
 		s.mu.Lock()
--- a/standin/pkg/fleet/fleet_test.go
+++ b/standin/pkg/fleet/fleet_test.go
@@ -44,14 +44,14 @@
 
 // process is one daemon.
 type process struct {
-	t    *testing.T
+	t    testing.TB
 	cmd  *exec.Cmd
 	args []string
 	log  *bytes.Buffer
 	done chan struct{}
 }
 
-func launch(t *testing.T, program string, args ...string) *process {
+func launch(t testing.TB, program string, args ...string) *process {
 	t.Helper()
 	p := &process{t: t, args: append([]string{program}, args...)}
 	p.start()
@@ -78,7 +78,7 @@
 
 // fleet is a running fleet and its stand-ins, which live in the test's own process.
 type fleet struct {
-	t        *testing.T
+	t        testing.TB
 	net      int
 	platform *objapi.API
 	client   plat.Client
@@ -92,7 +92,7 @@
 // lastNet numbers the fleets, so that several run side by side on their own loopback networks.
 var lastNet atomic.Int32
 
-func newFleet(t *testing.T) *fleet {
+func newFleet(t testing.TB) *fleet {
 	t.Helper()
 	f := &fleet{
 		t: t, net: int(100 + lastNet.Add(1)), platform: objapi.New(), dir: t.TempDir(),
--- a/steerd/cmds/cmds.go
+++ b/steerd/cmds/cmds.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"errors"
+	"expvar"
 	"io"
 	"os"
 	"time"
@@ -89,7 +90,7 @@
 // Dump implements admin.Source.
 func (p *process) Dump() any {
 	now := time.Now()
-	live, _ := p.node.Live(now)
+	live := p.node.Live(now)
 	st := state{
 		Host: p.node.Host(), Ready: p.node.Ready(), Gateway: p.IsGateway(now), Lookups: p.lookup.Count(),
 		Config: gossip.Summarize(p.node.Store()), Members: live,
@@ -131,6 +132,7 @@
 		attach: attach.New(n, config.Millis(s.GossipMillis), log.Layer("attach")),
 		lookup: lookup.NewServer(n, config.Millis(s.LookupTTLMillis)),
 	}
+	publish(p, pool)
 	client := plat.NewHTTP(s.PlatformAddress)
 	watcher := watch.New(n, client, p.Accept, s.WatchersPerRegion, log.Layer("watch"))
 	reporter := report.New(n, client, log.Layer("report"))
@@ -140,7 +142,7 @@
 	stopCtx, stop := context.WithCancel(g.Context())
 	defer stop()
 	g.HTTP(listeners[0], lookupHandler(p.lookup))
-	rpc := peer.NewServer()
+	rpc := pool.NewServer()
 	peerpb.RegisterControlServer(rpc, p)
 	g.GRPC(listeners[1], rpc)
 	g.HTTP(listeners[2], adminHandler(p))
@@ -160,6 +162,15 @@
 	return err
 }
 
+// publish makes the process's counts visible by expvar.
+func publish(p *process, pool *peer.Pool) {
+	expvar.Publish("lookups", expvar.Func(func() any { return p.lookup.Count() }))
+	expvar.Publish("refusedOldVersions", expvar.Func(func() any { return p.node.Store().Refused() }))
+	expvar.Publish("configHash", expvar.Func(func() any { return p.node.Store().Hash() }))
+	expvar.Publish("peerBytesIn", expvar.Func(func() any { return pool.Traffic().In() }))
+	expvar.Publish("peerBytesOut", expvar.Func(func() any { return pool.Traffic().Out() }))
+}
+
 var errStopped = errors.New("stopped")
 
 // leaveRounds is how many rounds of gossip a stopping process stays to tell that it leaves.
--- a/steerd/pkg/attach/attach.go
+++ b/steerd/pkg/attach/attach.go
@@ -7,9 +7,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-	"google.golang.org/protobuf/proto"
-
 	"rosemarygrade.dev/lib/pkg/member"
 	"rosemarygrade.dev/lib/pkg/peerpb"
 	"rosemarygrade.dev/steerd/pkg/node"
@@ -68,8 +65,8 @@
 		changed := s.node.Store().Changed()
 		v := &peerpb.View{Echo: nonce.Load(), Ready: s.node.Ready(), ConfigHash: s.node.Store().Hash()}
 		v.Records, position = s.node.Store().Since(position)
-		live, _ := s.node.Live(time.Now())
-		if h := hash(live); h != members {
+		live := s.node.Live(time.Now())
+		if h := member.Hash(live); h != members {
 			members = h
 			v.Members, v.FullMembers = live, true
 		}
@@ -84,16 +81,3 @@
 		}
 	}
 }
-
-// hash covers what entryds use of members, so that a view carries them only when it changes.
-func hash(members []*peerpb.Member) uint64 {
-	d := xxhash.New()
-	var buf []byte
-	for _, m := range members {
-		short := proto.CloneOf(m)
-		short.Seq, short.Revision, short.ConfigHash, short.Holds = 0, 0, 0, nil
-		buf, _ = proto.MarshalOptions{Deterministic: true}.MarshalAppend(buf[:0], short)
-		_, _ = d.Write(buf)
-	}
-	return d.Sum64()
-}
--- a/steerd/pkg/gossip/gossip.go
+++ b/steerd/pkg/gossip/gossip.go
@@ -50,8 +50,7 @@
 
 // targets picks the peers of one round.
 func (g *Gossip) targets(now time.Time, self *peerpb.Member) []string {
-	local := g.others(now, func(m *peerpb.Member) bool { return m.GetDataCentre() == self.GetDataCentre() })
-	out := pick(local, localFanout)
+	out := pick(g.addresses(g.node.LocalSteerds(now)), localFanout)
 	if g.IsGateway(now) {
 		remote := g.others(now, func(m *peerpb.Member) bool { return m.GetDataCentre() != self.GetDataCentre() })
 		out = append(out, pick(remote, remoteFanout)...)
@@ -71,8 +70,13 @@
 const seedOdds = 8
 
 func (g *Gossip) others(now time.Time, keep func(*peerpb.Member) bool) []string {
+	return g.addresses(g.node.Steerds(now, keep))
+}
+
+// addresses returns the peer addresses of members other than this process.
+func (g *Gossip) addresses(members []*peerpb.Member) []string {
 	var out []string
-	for _, m := range g.node.Steerds(now, keep) {
+	for _, m := range members {
 		if m.GetPeerAddress() != g.node.PeerAddress() {
 			out = append(out, m.GetPeerAddress())
 		}
@@ -87,7 +91,7 @@
 
 // IsGateway tells whether this steerd speaks with other data centres.
 func (g *Gossip) IsGateway(now time.Time) bool {
-	local := g.node.Steerds(now, func(m *peerpb.Member) bool { return m.GetDataCentre() == g.node.DataCentre() })
+	local := g.node.LocalSteerds(now)
 	return rank.Within("gateway/"+g.node.DataCentre(), gateways, local, (*peerpb.Member).GetHost, g.node.Host())
 }
 
@@ -178,7 +182,7 @@
 func (g *Gossip) push(ctx context.Context, records []*peerpb.Record) {
 	now := time.Now()
 	dc := g.node.DataCentre()
-	targets := pick(g.others(now, func(m *peerpb.Member) bool { return m.GetDataCentre() == dc }), pushFanout)
+	targets := pick(g.addresses(g.node.LocalSteerds(now)), pushFanout)
 	remote := g.others(now, func(m *peerpb.Member) bool { return m.GetDataCentre() != dc })
 	targets = append(targets, pick(remote, pushFanout)...)
 	for _, address := range targets {
--- a/steerd/pkg/lookup/http.go
+++ b/steerd/pkg/lookup/http.go
@@ -39,7 +39,7 @@
 // Refresh rebuilds the table from the present configuration and membership.
 func (s *Server) Refresh(now time.Time) {
 	snap := s.node.Store().Snapshot()
-	live, _ := s.node.Live(now)
+	live := s.node.Live(now)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if !sameRegions(s.from, snap.Regions()) {
--- a/steerd/pkg/node/node.go
+++ b/steerd/pkg/node/node.go
@@ -92,21 +92,27 @@
 	f(n.table)
 }
 
-// Live returns every live member and the version of the table.
-func (n *Node) Live(now time.Time) ([]*peerpb.Member, uint64) {
+// Live returns every live member. The records are shared: callers do not change them.
+func (n *Node) Live(now time.Time) []*peerpb.Member {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	live := n.table.Live(now)
-	out := make([]*peerpb.Member, 0, len(live))
-	for _, m := range live {
-		out = append(out, proto.CloneOf(m))
-	}
-	return out, n.table.Version()
+	return n.table.Live(now)
+}
+
+// LocalSteerds returns the live steerds of the own data centre.
+func (n *Node) LocalSteerds(now time.Time) []*peerpb.Member {
+	n.mu.Lock()
+	live := n.table.LocalLive(now)
+	n.mu.Unlock()
+	return steerds(live, func(*peerpb.Member) bool { return true })
 }
 
 // Steerds returns the live steerds that keep returns true for.
 func (n *Node) Steerds(now time.Time, keep func(*peerpb.Member) bool) []*peerpb.Member {
-	live, _ := n.Live(now)
+	return steerds(n.Live(now), keep)
+}
+
+func steerds(live []*peerpb.Member, keep func(*peerpb.Member) bool) []*peerpb.Member {
 	var out []*peerpb.Member
 	for _, m := range live {
 		if m.GetRole() == peerpb.Role_ROLE_STEERD && !m.GetLeaving() && keep(m) {
