Count callers by their own region, wherever they enter

Cause: with Almaty drained, look-ups sent its callers to Astana's hosts, which counted them as Astana's: 73% of Almaty's requests ran in Astana under a shift with a cap of 20%. Test first: all 100 of 100 such requests were served where 25 were allowed. Ruled out: the ledger (it kept the cap for what it was asked). Change: a request's source is the region of its caller's address, by the same blocks as look-ups; shifts and owners' shares go by it. Links still go by the sending host's region. Also: the demo's clean-up stopped at the first process that had ended by itself and left ten daemons, which answered in the next run; it ends the jobs that still run, and fails when a daemon did not start.

--- a/_scripts/demo.sh
+++ b/_scripts/demo.sh
@@ -7,7 +7,7 @@
 RUN=$(mktemp -d)
 # shellcheck source=_scripts/fleet.sh
 . _scripts/fleet.sh
-trap 'finish; rm -rf "$RUN"' EXIT
+trap 'code=$?; finish; rm -rf "$RUN"; exit $code' EXIT
 trap 'exit 130' INT TERM
 
 say() { printf '\n== %s\n' "$*"; }
--- a/_scripts/fleet.sh
+++ b/_scripts/fleet.sh
@@ -1,7 +1,6 @@
 # Functions that start a small fleet on loopback and end exactly what they started.
 # Sourced by demo.sh and by trials; needs $BIN (programs) and $RUN (a folder for settings and logs).
 
-PIDS=()
 PLATFORM=127.0.0.1:7000
 # One host in each data centre: name, data centre, region, IP.
 HOSTS=("h1 ala-1 almaty 127.0.1.1" "h2 ala-2 almaty 127.0.1.2" "h3 nqz-1 astana 127.0.1.3"
@@ -11,14 +10,13 @@
   local name=$1
   shift
   "$@" >"$RUN/$name.out" 2>"$RUN/$name.log" &
-  PIDS+=($!)
   printf -v "PID_${name//-/_}" %s $!
 }
 
-finish() { # ends every process that start began, and waits for it
+finish() { # ends every process that start began and that still runs, and waits for it
   local p
-  for p in "${PIDS[@]}"; do kill -KILL "$p" 2>/dev/null; done
-  wait 2>/dev/null
+  for p in $(jobs -pr); do kill -KILL "$p" 2>/dev/null || true; done
+  wait 2>/dev/null || true
 }
 
 settings() { # settings NAME DATA-CENTRE REGION IP: writes both daemons' settings
@@ -47,10 +45,17 @@
   sed -n 's/.*"address": "\(.*\)".*/\1/p' "$1" | paste -sd, -
 }
 
-wait_ready() { # waits until every entryd can place requests
+alive() { # alive NAME: fails, with the log's end, when a process that start began has ended
+  local p="PID_${1//-/_}"
+  kill -0 "${!p}" 2>/dev/null || { tail -n 3 "$RUN/$1.log" >&2; return 1; }
+}
+
+wait_ready() { # waits until every entryd can place requests; fails when a daemon did not start
   local h ip i
   for h in "${HOSTS[@]}"; do
     ip=${h##* }
+    alive "${h%% *}-steerd"
+    alive "${h%% *}-entryd"
     for i in $(seq 100); do
       curl -fs "http://$ip:7202/readyz" >/dev/null && break
       sleep 0.1
--- a/entryd/cmds/process.go
+++ b/entryd/cmds/process.go
@@ -61,7 +61,7 @@
 		Where:       place.Where{DataCentre: s.DataCentre, Region: s.Region},
 		Incarnation: p.incarnation, Views: p.steer, Owner: p.owner, Peers: p.peers, Book: p.book, Log: log.Layer("proxy"),
 	})
-	p.caller = caller.New(p.proxy, s.Region, log.Layer("caller"))
+	p.caller = caller.New(p.proxy, caller.NewBlocks(s.Region, p.steer.Snapshot), log.Layer("caller"))
 	p.data = entry.NewServer(p.incarnation, p.proxy, p.owner, p.links)
 	p.publish()
 	return p
--- a/entryd/pkg/caller/caller.go
+++ b/entryd/pkg/caller/caller.go
@@ -8,6 +8,7 @@
 	"io"
 	"log/slog"
 	"net/http"
+	"net/netip"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -26,6 +27,8 @@
 const (
 	// HeaderKey carries the request key of a request that may run at most once.
 	HeaderKey = "Rosemary-Key"
+	// HeaderCaller declares the address of a caller that speaks through another, as in look-ups.
+	HeaderCaller = "Rosemary-Caller"
 	// HeaderOutcome tells callers what became of the request.
 	HeaderOutcome = "Rosemary-Outcome"
 	// HeaderRetryAfter is the standard header, in whole seconds.
@@ -47,7 +50,7 @@
 // Server serves callers.
 type Server struct {
 	proxy    *proxy.Proxy
-	region   string
+	regions  Regions
 	log      *slog.Logger
 	inFlight atomic.Int64
 	stopping atomic.Bool
@@ -62,9 +65,15 @@
 	Broken  atomic.Uint64
 }
 
-// New returns a server of a host in the region.
-func New(p *proxy.Proxy, region string, log *slog.Logger) *Server {
-	return &Server{proxy: p, region: region, log: log}
+// Regions tells the region of a caller by its address.
+type Regions interface {
+	// RegionOf returns the region of an address; one that no block holds is of the host's region.
+	RegionOf(addr netip.Addr) string
+}
+
+// New returns a server.
+func New(p *proxy.Proxy, regions Regions, log *slog.Logger) *Server {
+	return &Server{proxy: p, regions: regions, log: log}
 }
 
 // InFlight returns how many requests are under way.
@@ -137,13 +146,33 @@
 	if refused != nil {
 		return nil, nil, refused
 	}
+	source, refused := s.regionOf(r)
+	if refused != nil {
+		return nil, nil, refused
+	}
 	return &flow.Request{
 		ID: id, Service: svc.Name(), Method: r.Method, Path: r.URL.RequestURI(), Header: forwarded(r.Header),
-		Body: body, Deadline: deadline, Source: s.region, Idempotent: !route.NonIdempotent(),
+		Body: body, Deadline: deadline, Source: source, Idempotent: !route.NonIdempotent(),
 		Background: svc.Background(), EchoNeeded: !svc.EchoOptional(), Key: key,
 	}, svc, nil
 }
 
+// regionOf returns the region of the address that the caller declares, or that it speaks from.
+func (s *Server) regionOf(r *http.Request) (string, *flow.Refused) {
+	if declared := r.Header.Get(HeaderCaller); declared != "" {
+		addr, err := netip.ParseAddr(declared)
+		if err != nil {
+			return "", turned(flow.RefusedBadBody, HeaderCaller+" must be an IP address")
+		}
+		return s.regions.RegionOf(addr), nil
+	}
+	remote, err := netip.ParseAddrPort(r.RemoteAddr)
+	if err != nil {
+		return s.regions.RegionOf(netip.Addr{}), nil
+	}
+	return s.regions.RegionOf(remote.Addr()), nil
+}
+
 func turned(kind flow.RefusalKind, reason string) *flow.Refused {
 	r := flow.NotRun(kind, reason)
 	return &r
@@ -197,7 +226,7 @@
 var hopHeaders = map[string]bool{
 	"Connection": true, "Keep-Alive": true, "Proxy-Connection": true, "Te": true, "Trailer": true,
 	"Transfer-Encoding": true, "Upgrade": true, "Proxy-Authenticate": true, "Proxy-Authorization": true,
-	HeaderKey: true, HeaderOutcome: true, server.HeaderRequestID: true, server.HeaderDeadline: true,
+	HeaderKey: true, HeaderCaller: true, HeaderOutcome: true, server.HeaderRequestID: true, server.HeaderDeadline: true,
 	server.HeaderNotRun: true, "Expect": true,
 }
 
--- a/entryd/pkg/caller/caller_test.go
+++ b/entryd/pkg/caller/caller_test.go
@@ -72,7 +72,7 @@
 		Where: place.Where{DataCentre: "a", Region: "r"}, Incarnation: self, Views: v, Owner: own,
 		Book: record.NewBook(time.Now(), self), Log: log,
 	})
-	s := httptest.NewUnstartedServer(caller.New(p, "r", log).Handler())
+	s := httptest.NewUnstartedServer(caller.New(p, caller.NewBlocks("r", v.Snapshot), log).Handler())
 	s.Config.MaxHeaderBytes = 16 << 10
 	s.Start()
 	t.Cleanup(s.Close)
@@ -119,6 +119,7 @@
 		{"stalls in its body", "POST /once" + head + "Rosemary-Key: " + key() + "\r\nRosemary-Deadline-Millis: 200\r\nContent-Length: 10\r\n\r\nab", 400, flow.RefusedBadBody},
 		{"chunked body over the limit", "POST /once" + head + "Rosemary-Key: " + key() + "\r\nTransfer-Encoding: chunked\r\n\r\n3e9\r\n" + strings.Repeat("x", 1001) + "\r\n0\r\n\r\n", 413, flow.RefusedBody},
 		{"bad deadline", "GET /get" + head + "Rosemary-Deadline-Millis: soon\r\n\r\n", 400, flow.RefusedBadBody},
+		{"bad caller address", "GET /get" + head + "Rosemary-Caller: 10.1\r\n\r\n", 400, flow.RefusedBadBody},
 		{"long path", "GET /get?" + strings.Repeat("x", 9000) + head + "\r\n", 400, flow.RefusedBadBody},
 		{"oversized header", "GET /get" + head + "X: " + strings.Repeat("x", 32<<10) + "\r\n\r\n", 431, ""},
 		{"no HTTP", "\x00\x01\r\n\r\n", 400, ""},
--- a/entryd/pkg/entry/client.go
+++ b/entryd/pkg/entry/client.go
@@ -58,7 +58,7 @@
 		return flow.NotRun(flow.RefusedConnect, err.Error())
 	}
 	s := newSender(stream, path{links: c.links, region: p.GetRegion(), class: class})
-	open := toOpen(time.Now(), req, p.GetIncarnation(), stage)
+	open := toOpen(time.Now(), req, p.GetIncarnation(), stage, c.links.Region())
 	if err := s.small(ctx, &peerpb.Frame{Kind: &peerpb.Frame_Open{Open: open}}, headerBytes(open.GetHeaders())+len(open.GetPath())); err != nil {
 		return flow.Broken{Reason: err.Error()}
 	}
--- a/entryd/pkg/entry/frames.go
+++ b/entryd/pkg/entry/frames.go
@@ -227,14 +227,14 @@
 	}
 }
 
-func toOpen(now time.Time, req *flow.Request, target uint64, stage peerpb.Stage) *peerpb.Open {
+func toOpen(now time.Time, req *flow.Request, target uint64, stage peerpb.Stage, region string) *peerpb.Open {
 	left := max(0, req.Deadline.Sub(now))
 	return &peerpb.Open{
 		RequestId: req.ID, Service: req.Service, DataCentre: req.DataCentre, Method: req.Method, Path: req.Path,
 		Headers: toHeaders(req.Header), TimeoutMillis: uint32(left.Milliseconds()),
 		DeadlineUnixMillis: now.Add(left).UnixMilli(), SourceRegion: req.Source, Idempotent: req.Idempotent,
 		Background: req.Background, Key: req.Key, TargetIncarnation: target, Stage: stage,
-		BodyBytes: req.Body.Size(), EchoNeeded: req.EchoNeeded,
+		BodyBytes: req.Body.Size(), EchoNeeded: req.EchoNeeded, SenderRegion: region,
 	}
 }
 
--- a/entryd/pkg/entry/server.go
+++ b/entryd/pkg/entry/server.go
@@ -71,7 +71,7 @@
 	if req.Background {
 		class = links.Background
 	}
-	out := &answerSink{ctx: ctx, id: req.ID, sender: newSender(stream, path{links: s.links, region: req.Source, class: class})}
+	out := &answerSink{ctx: ctx, id: req.ID, sender: newSender(stream, path{links: s.links, region: open.GetSenderRegion(), class: class})}
 	res := s.dispatch(ctx, open.GetStage(), req, out)
 	return finish(stream, out, res)
 }
--- a/entryd/pkg/flow/flow.go
+++ b/entryd/pkg/flow/flow.go
@@ -36,6 +36,7 @@
 	Header     http.Header
 	Body       *Body
 	Deadline   time.Time
+	// Source is the region of the caller, wherever the request entered.
 	Source     string
 	Idempotent bool
 	Background bool
--- a/entryd/pkg/links/links.go
+++ b/entryd/pkg/links/links.go
@@ -28,6 +28,9 @@
 // New returns the links of a host in the region.
 func New(region string) *Links { return &Links{region: region, paths: map[string]*path{}} }
 
+// Region returns the region of the host.
+func (l *Links) Region() string { return l.region }
+
 // Configure takes in the limits of the configuration. Each host's own share is the limit divided
 // by the most hosts that the region may have, so that no word from others is needed to keep it.
 func (l *Links) Configure(now time.Time, snap *model.Snapshot) {
--- a/entryd/pkg/proxy/proxy.go
+++ b/entryd/pkg/proxy/proxy.go
@@ -132,7 +132,7 @@
 	}
 	p.budget(req.Service).Earn(svc.RetryShare())
 	t := p.traces.Begin(now, req)
-	r := &round{proxy: p, req: req, sink: sink, trace: t, shifts: snap.ShiftsOf(req.Service, p.where.Region), taken: map[string]bool{}}
+	r := &round{proxy: p, req: req, sink: sink, trace: t, shifts: snap.ShiftsOf(req.Service, req.Source), taken: map[string]bool{}}
 	p.ledger.Arrive(now, r.shifts)
 	res := r.tryAll(ctx)
 	t.End(time.Now(), res)
@@ -217,10 +217,11 @@
 	return false
 }
 
-// mayLeave takes the right to send the request to another region, once for each region.
+// mayLeave takes the right to serve the request in a region other than its caller's, once for each
+// region. It makes no difference in which region the caller entered.
 func (r *round) mayLeave(c place.Choice) bool {
 	region := c.Site.Region()
-	if !c.Away || r.taken[region] {
+	if region == r.req.Source || r.taken[region] {
 		return true
 	}
 	if !r.proxy.ledger.Move(r.shifts, region) {
--- a/entryd/pkg/proxy/proxy_test.go
+++ b/entryd/pkg/proxy/proxy_test.go
@@ -231,6 +231,22 @@
 			assert.Equal(t, len(p.to), 25)
 		})
 	}
+	t.Run("callers of another region who enter here count against the cap", func(t *testing.T) {
+		p := &peers{results: []flow.Result{whole}}
+		px := setUp(t, p, [3]string{"shift", "m", `{"service":"s","from":"r2","to":"r1","capPercent":25}`})
+		for range 100 {
+			req := request(true)
+			req.Source = "r2"
+			serve(t, px, req)
+		}
+		here := 0
+		for _, h := range p.to {
+			if h == "b" {
+				here++
+			}
+		}
+		assert.Equal(t, here, 25)
+	})
 	t.Run("a shift moves its share", func(t *testing.T) {
 		p := &peers{results: []flow.Result{whole}}
 		px := setUp(t, p, shift)
--- a/standin/pkg/fleet/bench_test.go
+++ b/standin/pkg/fleet/bench_test.go
@@ -68,6 +68,7 @@
 					b.ReportMetric(float64(r.Whole)/r.Seconds*float64(c.bytes)/(1<<20), "MB/s")
 					if way.name == "path" {
 						b.ReportMetric(float64(r.Whole)/max(cpu, 0.01), "req/core-s")
+						b.ReportMetric(residentMB(f.entryds[0].cmd.Process.Pid), "MB")
 					}
 				}
 			})
--- a/standin/pkg/load/caller.go
+++ b/standin/pkg/load/caller.go
@@ -179,6 +179,9 @@
 		ans.Token = "key-" + r.Key
 	}
 	req.Header.Set(bksrv.HeaderToken, ans.Token)
+	if c.address != "" {
+		req.Header.Set("Rosemary-Caller", c.address)
+	}
 	resp, err := c.client.Do(req)
 	if err != nil {
 		return ans, fault.Wrap("send", KindBroken, err)
--- a/steerd/pkg/lookup/http.go
+++ b/steerd/pkg/lookup/http.go
@@ -13,7 +13,6 @@
 	"github.com/labstack/echo/v4"
 
 	"rosemarygrade.dev/lib/pkg/block"
-	"rosemarygrade.dev/lib/pkg/model"
 	"rosemarygrade.dev/steerd/pkg/node"
 )
 
@@ -23,14 +22,13 @@
 	ttl    time.Duration
 	table  atomic.Pointer[Table]
 	mu     sync.Mutex
-	blocks *block.Table
-	from   map[string]*model.Region
+	blocks block.Cache
 	count  atomic.Uint64
 }
 
 // NewServer returns a server. Refresh must run before the first answer and again at short intervals.
 func NewServer(n *node.Node, ttl time.Duration) *Server {
-	return &Server{node: n, ttl: ttl, blocks: block.New(nil)}
+	return &Server{node: n, ttl: ttl}
 }
 
 // Count returns how many look-ups were answered.
@@ -42,24 +40,7 @@
 	live := s.node.Live(now)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !sameRegions(s.from, snap.Regions()) {
-		s.blocks = block.New(snap.CallerBlocks())
-		s.from = snap.Regions()
-	}
-	s.table.Store(NewTable(now, snap, live, s.blocks, s.ttl, s.node.Region()))
-}
-
-// sameRegions tells whether no region object changed, so that the blocks need no new table.
-func sameRegions(a, b map[string]*model.Region) bool {
-	if len(a) != len(b) {
-		return false
-	}
-	for name, r := range a {
-		if b[name] != r {
-			return false
-		}
-	}
-	return true
+	s.table.Store(NewTable(now, snap, live, s.blocks.Table(snap), s.ttl, s.node.Region()))
 }
 
 // failure is the JSON body of an answer without hosts.
