--- a/lib/pkg/member/member.go
+++ b/lib/pkg/member/member.go
@@ -285,7 +285,7 @@
 }
 
 // maxSummaries is how many summaries one message carries, so that its size does not grow with the fleet.
-const maxSummaries = 40
+const maxSummaries = 16
 
 // Summaries returns summaries without their members: all of them, or as many as a message
 // carries, those that changed last first.
--- a/steerd/pkg/gossip/gossip.go
+++ b/steerd/pkg/gossip/gossip.go
@@ -113,7 +113,7 @@
 }
 
 func (g *Gossip) request(now time.Time) *peerpb.ExchangeRequest {
-	req := &peerpb.ExchangeRequest{ConfigHash: g.node.Store().Hash()}
+	req := &peerpb.ExchangeRequest{DataCentre: g.node.DataCentre(), ConfigHash: g.node.Store().Hash()}
 	gateway := g.IsGateway(now)
 	g.node.With(func(t *member.Table) {
 		b := t.Beats(now)
@@ -209,12 +209,14 @@
 		for _, m := range req.GetMembers() {
 			t.Observe(now, m)
 		}
-		resp.Wanted, resp.Members = t.Merge(now, member.Beats{
-			Incarnations: req.GetIncarnations(), Seqs: req.GetSeqs(), Revisions: req.GetRevisions(),
-		})
 		resp.WantedCentres = t.MergeCentres(now, req.GetCentres())
-		b := t.Beats(now)
-		resp.Incarnations, resp.Seqs, resp.Revisions = b.Incarnations, b.Seqs, b.Revisions
+		if req.GetDataCentre() == "" {
+			return
+		}
+		// Beats say nothing to another data centre, which has this one's summary.
+		if req.GetDataCentre() == g.node.DataCentre() {
+			answerBeats(t, now, req, resp)
+		}
 		if gateway {
 			t.Summarize(now, resp.GetConfigHash())
 		}
@@ -223,6 +225,15 @@
 	return resp, nil
 }
 
+// answerBeats takes in the beats of a peer of the own data centre and answers with the own ones.
+func answerBeats(t *member.Table, now time.Time, req *peerpb.ExchangeRequest, resp *peerpb.ExchangeResponse) {
+	resp.Wanted, resp.Members = t.Merge(now, member.Beats{
+		Incarnations: req.GetIncarnations(), Seqs: req.GetSeqs(), Revisions: req.GetRevisions(),
+	})
+	b := t.Beats(now)
+	resp.Incarnations, resp.Seqs, resp.Revisions = b.Incarnations, b.Seqs, b.Revisions
+}
+
 // answerCentres returns the summaries that the peer lacks, with members where the peer's differ.
 func answerCentres(t *member.Table, now time.Time, peer []*peerpb.Centre) []*peerpb.Centre {
 	has := make(map[string]*peerpb.Centre, len(peer))
