Offer link shares only while some host wants more; one pause, one stop command

Cause: a host offered its share of every link each 150 ms: 25 links of a region at tomorrow's size are 6.7 KB a second (worked out), above the 4 KB for all control. Change: the keeper says whether some host wants more; without it a host offers every 2 s. TestQuietLinks: 3 offers in 6 s, 10 in 1.5 s once asked.

--- a/entryd/pkg/entry/client.go
+++ b/entryd/pkg/entry/client.go
@@ -190,7 +190,7 @@
 	}
 	return links.Reply{
 		Token: resp.GetToken(), Granted: float64(resp.GetGrantedBytesPerSecond()),
-		Lease: time.Duration(resp.GetLeaseMillis()) * time.Millisecond,
+		Lease: time.Duration(resp.GetLeaseMillis()) * time.Millisecond, Wanted: resp.GetWanted(),
 	}, nil
 }
 
--- a/entryd/pkg/links/links.go
+++ b/entryd/pkg/links/links.go
@@ -23,6 +23,9 @@
 	pool   *Pool
 	sentAt time.Time
 	sent   uint64
+	// asked says that some host wants more of the link; offerAt is when to ask again if none does.
+	asked   bool
+	offerAt time.Time
 }
 
 // New returns the links of a host in the region.
@@ -81,6 +84,8 @@
 	keepShare = 0.25
 	// needMargin is how much more than its recent use a host keeps.
 	needMargin = 1.5
+	// quietOffer is the time between two offers on a link of which no host wants more.
+	quietOffer = 2 * time.Second
 )
 
 // need returns what the host lends and wants on a link, from its use since the last call.
@@ -109,6 +114,10 @@
 			continue
 		}
 		lent, wanted := p.need(now)
+		if wanted == 0 && !p.asked && now.Before(p.offerAt) {
+			continue
+		}
+		p.offerAt = now.Add(quietOffer)
 		out[to] = p.share.Offer(now, host, keeper, lent, wanted)
 		p.apply(now)
 	}
@@ -122,6 +131,7 @@
 	now := time.Now()
 	p := l.path(now, to)
 	p.share.Take(sent, keeper, r)
+	p.asked = r.Wanted
 	p.apply(now)
 	p.bucket.Advance(now)
 	l.arm(p, now)
--- a/entryd/pkg/links/links_test.go
+++ b/entryd/pkg/links/links_test.go
@@ -9,6 +9,7 @@
 	"pgregory.net/rapid"
 
 	"rosemarygrade.dev/entryd/pkg/links"
+	"rosemarygrade.dev/lib/pkg/model"
 )
 
 // init fixes the seed, so that every run gives the same verdict; -rapid.seed on the command line wins.
@@ -94,6 +95,24 @@
 	})
 }
 
+// TestQuietLinks checks that links of which no host wants more cost little, and that hosts offer as
+// soon as one does.
+func TestQuietLinks(t *testing.T) {
+	r, err := model.Parse("region", "a", []byte(`{"dataCentres":["d"],"maxHosts":2,"links":[{"to":"b","bitsPerSecond":8000000}]}`))
+	assert.NilError(t, err)
+	l := links.New("a")
+	l.Configure(start, model.NewSnapshot([]model.Object{r}))
+	offers := func(from, to int) (n int) {
+		for ms := from; ms < to; ms += 150 {
+			n += len(l.Offers(at(ms), 1, func(string) uint64 { return 9 }))
+		}
+		return n
+	}
+	assert.Equal(t, offers(0, 6000), 3)
+	l.Take(at(6000), "b", 9, links.Reply{Token: 1, Wanted: true})
+	assert.Equal(t, offers(6000, 7500), 10)
+}
+
 // TestKeeperChange lets the only lender change its keeper while the last one's grant is in use.
 func TestKeeperChange(t *testing.T) {
 	lender, first, second := links.NewShare(100), links.NewShare(100), links.NewShare(100)
--- a/entryd/pkg/links/pool.go
+++ b/entryd/pkg/links/pool.go
@@ -30,6 +30,8 @@
 	Granted float64
 	// Lease counts from when the host sent its offer.
 	Lease time.Duration
+	// Wanted says that some host wants more than its share, so that others should offer theirs.
+	Wanted bool
 }
 
 type loan struct {
@@ -68,9 +70,11 @@
 	r := Reply{Token: p.token(now)}
 	if o.Wanted <= 0 {
 		delete(p.wanters, o.Host)
+		r.Wanted = len(p.wanters) > 0
 		return r
 	}
 	p.wanters[o.Host] = now
+	r.Wanted = true
 	r.Granted, r.Lease = p.grant(now, o)
 	return r
 }
--- a/entryd/pkg/owner/owner.go
+++ b/entryd/pkg/owner/owner.go
@@ -14,6 +14,7 @@
 	"rosemarygrade.dev/entryd/pkg/queue"
 	"rosemarygrade.dev/entryd/pkg/server"
 	"rosemarygrade.dev/lib/pkg/model"
+	"rosemarygrade.dev/lib/pkg/pause"
 	"rosemarygrade.dev/lib/pkg/peerpb"
 )
 
@@ -225,11 +226,11 @@
 // follow asks the previous owner for its remaining work until there is none.
 func (o *Owner) follow(ctx context.Context, s *Site, p *peerpb.Member) {
 	for ctx.Err() == nil {
-		sleep(ctx, foreignPoll)
+		pause.For(ctx, foreignPoll)
 		got, err := o.ask(ctx, p, s.id)
 		if err != nil {
 			// A process that is gone has closed its connections, which cancels its requests.
-			sleep(ctx, maxTakeover)
+			pause.For(ctx, maxTakeover)
 			s.clearForeign()
 			return
 		}
@@ -249,15 +250,6 @@
 	}
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
-
 // Claimed serves a peer's claim: this process stops dispatching for the site and tells its work.
 func (o *Owner) Claimed(now time.Time, id model.SiteID) Claimed {
 	o.mu.Lock()
--- a/entryd/pkg/proxy/proxy.go
+++ b/entryd/pkg/proxy/proxy.go
@@ -15,6 +15,7 @@
 	"rosemarygrade.dev/entryd/pkg/record"
 	"rosemarygrade.dev/entryd/pkg/shift"
 	"rosemarygrade.dev/lib/pkg/model"
+	"rosemarygrade.dev/lib/pkg/pause"
 	"rosemarygrade.dev/lib/pkg/peerpb"
 )
 
@@ -153,7 +154,7 @@
 func (r *round) tryAll(ctx context.Context) flow.Result {
 	for {
 		res, again := r.tryOnce(ctx)
-		if !again || !pause(ctx, retryPause) {
+		if !again || !pause.For(ctx, retryPause) {
 			return res
 		}
 	}
@@ -299,17 +300,6 @@
 	}
 }
 
-func pause(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // Tick drops the state of shifts that are gone.
 func (p *Proxy) Tick() {
 	present := map[string]bool{}
--- a/entryd/pkg/steer/steer.go
+++ b/entryd/pkg/steer/steer.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"rosemarygrade.dev/lib/pkg/model"
+	"rosemarygrade.dev/lib/pkg/pause"
 	"rosemarygrade.dev/lib/pkg/peer"
 	"rosemarygrade.dev/lib/pkg/peerpb"
 	"rosemarygrade.dev/lib/pkg/store"
@@ -99,7 +100,7 @@
 			c.log.Warn("detached", "steerd", address, "err", err)
 		}
 		c.setAttached("")
-		wait(ctx, retryWait)
+		pause.For(ctx, retryWait)
 	}
 	return nil
 }
@@ -181,12 +182,3 @@
 	c.mu.Unlock()
 	c.process.Viewed(ctx, now, v.GetEcho())
 }
-
-func wait(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/lib/pkg/plat/plat.go
+++ b/lib/pkg/plat/plat.go
@@ -17,6 +17,7 @@
 	"golang.org/x/time/rate"
 
 	"rosemarygrade.dev/lib/pkg/fault"
+	"rosemarygrade.dev/lib/pkg/pause"
 	"rosemarygrade.dev/lib/pkg/wire"
 )
 
@@ -151,24 +152,13 @@
 		case err == nil, fault.KindOf[Kind](err) == KindNotFound:
 			return got, fault.Wrap("write", KindUnavailable, cause)
 		}
-		if !pause(ctx, readBackPause) {
+		if !pause.For(ctx, readBackPause) {
 			break
 		}
 	}
 	return wire.Object{}, fault.Wrap("write", KindLost, cause)
 }
 
-func pause(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // PutStatus implements Client.
 func (c *HTTP) PutStatus(ctx context.Context, kind, name string, status wire.Status, ifVersion uint64) error {
 	path := fmt.Sprintf("/status/%s/%s?ifVersion=%d", url.PathEscape(kind), url.PathEscape(name), ifVersion)
--- a/rosectl/cmds/write.go
+++ b/rosectl/cmds/write.go
@@ -183,42 +183,35 @@
 }
 
 func drainCommand(t *tool) *cobra.Command {
-	var (
-		spec wire.DrainSpec
-		wait time.Duration
-	)
-	cmd := &cobra.Command{
-		Use: "drain NAME", Short: "Take a data centre, a region or a host out of use", Args: cobra.ExactArgs(1),
-		Long: "Write a drain object. Deleting the object ends the drain.",
-		RunE: func(cmd *cobra.Command, args []string) error {
-			if err := put(cmd.Context(), t, cmd.OutOrStdout(), wire.KindDrain, args[0], spec); err != nil {
-				return err
-			}
-			return waitDone(cmd.Context(), t, cmd.OutOrStdout(), wire.KindDrain, args[0], wait)
-		},
-	}
+	var spec wire.DrainSpec
+	cmd := stopCommand(t, wire.KindDrain, &spec, "Take a data centre, a region or a host out of use")
+	cmd.Long = "Write a drain object. Deleting the object ends the drain."
 	cmd.Flags().StringVar(&spec.Scope, "scope", "dataCentre", "dataCentre, region or host")
 	cmd.Flags().StringVar(&spec.Name, "of", "", "name of the data centre, region or host")
-	cmd.Flags().DurationVar(&wait, "wait", 0, "wait this long until nothing is left in flight")
 	return cmd
 }
 
 func recallCommand(t *tool) *cobra.Command {
-	var (
-		spec wire.RecallSpec
-		wait time.Duration
-	)
+	var spec wire.RecallSpec
+	cmd := stopCommand(t, wire.KindRecall, &spec, "Take every backend server of a batch out of use")
+	cmd.Long = "Write a recall object, for a batch across data centres and regions. Deleting the object ends the recall."
+	cmd.Flags().StringVar(&spec.Batch, "batch", "", "label of the batch")
+	return cmd
+}
+
+// stopCommand returns a command that writes an object which stops new work, and waits if asked to
+// until nothing is left in flight.
+func stopCommand[S any](t *tool, kind string, spec *S, short string) *cobra.Command {
+	var wait time.Duration
 	cmd := &cobra.Command{
-		Use: "recall NAME", Short: "Take every backend server of a batch out of use", Args: cobra.ExactArgs(1),
-		Long: "Write a recall object, for a batch across data centres and regions. Deleting the object ends the recall.",
+		Use: kind + " NAME", Short: short, Args: cobra.ExactArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
-			if err := put(cmd.Context(), t, cmd.OutOrStdout(), wire.KindRecall, args[0], spec); err != nil {
+			if err := put(cmd.Context(), t, cmd.OutOrStdout(), kind, args[0], spec); err != nil {
 				return err
 			}
-			return waitDone(cmd.Context(), t, cmd.OutOrStdout(), wire.KindRecall, args[0], wait)
+			return waitDone(cmd.Context(), t, cmd.OutOrStdout(), kind, args[0], wait)
 		},
 	}
-	cmd.Flags().StringVar(&spec.Batch, "batch", "", "label of the batch")
 	cmd.Flags().DurationVar(&wait, "wait", 0, "wait this long until nothing is left in flight")
 	return cmd
 }
--- a/steerd/pkg/report/report.go
+++ b/steerd/pkg/report/report.go
@@ -24,6 +24,11 @@
 	writesPerSecond = 5
 	writesBurst     = 20
 	minInterval     = time.Second
+	// settleTime is how long after its last change an object's count of processes is written at once.
+	settleTime = 15 * time.Second
+	// countInterval is the time between two writes that change nothing but counts of processes. A
+	// change of any object moves every object's counts, and the platform can't take them all.
+	countInterval = time.Minute
 )
 
 // Reporter writes status of the objects that fall to this steerd.
@@ -35,9 +40,22 @@
 	written map[store.Key]written
 }
 
+// written is the last status that this reporter wrote.
 type written struct {
 	status wire.Status
 	at     time.Time
+	// changed is when something other than counts changed.
+	changed time.Time
+}
+
+// waits tells whether a new status may wait, because only counts of processes have changed.
+func (w written) waits(now time.Time, next wire.Status) bool {
+	return w.onlyCounts(next) && now.Sub(w.changed) > settleTime && now.Sub(w.at) < countInterval
+}
+
+func (w written) onlyCounts(next wire.Status) bool {
+	next.HostsInForce, next.HostsKnown = w.status.HostsInForce, w.status.HostsKnown
+	return next == w.status
 }
 
 // New returns a reporter.
@@ -98,7 +116,7 @@
 		st := statusOf(key, e, inForce, known, holds)
 		st.Reporter = r.node.Host()
 		st.Version = last.status.Version
-		if st != last.status {
+		if st != last.status && !last.waits(now, st) {
 			out[key] = st
 		}
 	}
@@ -141,14 +159,25 @@
 		err = r.client.PutStatus(ctx, key.Kind, key.Name, st, st.Version)
 	}
 	if plat.Is(err, plat.KindNotFound) {
-		r.written[key] = written{status: st, at: now}
+		r.note(now, key, st)
 		return nil
 	}
 	if err != nil {
 		return err
 	}
 	st.Version++
-	r.written[key] = written{status: st, at: now}
+	r.note(now, key, st)
 	r.log.Debug("status", "kind", key.Kind, "name", key.Name, "inForce", st.HostsInForce, "known", st.HostsKnown)
 	return nil
 }
+
+// note remembers what was written.
+func (r *Reporter) note(now time.Time, key store.Key, st wire.Status) {
+	next := written{status: st, at: now, changed: now}
+	old := r.written[key]
+	old.status.Version = st.Version
+	if old.onlyCounts(st) {
+		next.changed = old.changed
+	}
+	r.written[key] = next
+}
--- /dev/null
+++ b/steerd/pkg/report/report_test.go
@@ -0,0 +1,139 @@
+package report_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"rosemarygrade.dev/lib/pkg/fault"
+	"rosemarygrade.dev/lib/pkg/member"
+	"rosemarygrade.dev/lib/pkg/peerpb"
+	"rosemarygrade.dev/lib/pkg/plat"
+	"rosemarygrade.dev/lib/pkg/wire"
+	"rosemarygrade.dev/steerd/pkg/node"
+	"rosemarygrade.dev/steerd/pkg/report"
+)
+
+var start = time.Unix(1_700_000_000, 0)
+
+func at(seconds float64) time.Time { return start.Add(time.Duration(seconds * float64(time.Second))) }
+
+// platform keeps statuses with their versions.
+type platform struct {
+	plat.Client
+	statuses map[string]wire.Status
+	writes   int
+}
+
+func (p *platform) PutStatus(_ context.Context, kind, name string, st wire.Status, ifVersion uint64) error {
+	if p.statuses[kind+"/"+name].Version != ifVersion {
+		return fault.New("put", plat.KindConflict, "version")
+	}
+	st.Version = ifVersion + 1
+	p.statuses[kind+"/"+name] = st
+	p.writes++
+	return nil
+}
+
+func (p *platform) Get(_ context.Context, kind, name string) (wire.Object, error) {
+	st := p.statuses[kind+"/"+name]
+	return wire.Object{Status: &st}, nil
+}
+
+// setUp returns a reporter that is alone, with n recalls.
+func setUp(p *platform, n int) (*report.Reporter, *node.Node) {
+	nd := node.New(&peerpb.Member{Host: "h", DataCentre: "d", Region: "r"}, member.Timing{Dead: time.Hour, CentreDead: time.Hour})
+	for i := range n {
+		nd.Store().Offer(recall(i, 1))
+	}
+	nd.SetReady()
+	nd.Tick(start)
+	return report.New(nd, p, slog.New(slog.NewTextHandler(io.Discard, nil))), nd
+}
+
+func recall(i int, version uint64) *peerpb.Record {
+	return &peerpb.Record{Kind: "recall", Name: fmt.Sprintf("x%d", i), Version: version, Spec: []byte(`{"batch":"b"}`)}
+}
+
+func join(nd *node.Node, now time.Time, incarnation uint64, holds ...*peerpb.Hold) {
+	nd.With(func(t *member.Table) {
+		t.Observe(now, &peerpb.Member{
+			Incarnation: incarnation, Seq: uint64(now.Unix()), Revision: uint64(now.Unix()), Host: fmt.Sprint(incarnation),
+			Role: peerpb.Role_ROLE_ENTRYD, DataCentre: "d", ConfigHash: nd.Store().Hash(), Holds: holds,
+		})
+	})
+}
+
+func assertWrites(t *testing.T, p *platform, want int) {
+	t.Helper()
+	assert.Equal(t, p.writes, want)
+}
+
+func TestRound(t *testing.T) {
+	t.Run("writes once and then only changes", func(t *testing.T) {
+		p := &platform{statuses: map[string]wire.Status{}}
+		r, _ := setUp(p, 1)
+		r.Round(t.Context(), at(0))
+		r.Round(t.Context(), at(2))
+		assertWrites(t, p, 1)
+		assert.Assert(t, p.statuses["recall/x0"].Done)
+	})
+	t.Run("counts that settle are written at once", func(t *testing.T) {
+		p := &platform{statuses: map[string]wire.Status{}}
+		r, nd := setUp(p, 1)
+		r.Round(t.Context(), at(0))
+		join(nd, at(2), 2)
+		r.Round(t.Context(), at(2))
+		assertWrites(t, p, 2)
+	})
+	t.Run("later ones once a minute", func(t *testing.T) {
+		p := &platform{statuses: map[string]wire.Status{}}
+		r, nd := setUp(p, 1)
+		r.Round(t.Context(), at(0))
+		join(nd, at(20), 2)
+		r.Round(t.Context(), at(20))
+		assertWrites(t, p, 1)
+		r.Round(t.Context(), at(61))
+		assertWrites(t, p, 2)
+	})
+	t.Run("in-flight work is written at once", func(t *testing.T) {
+		p := &platform{statuses: map[string]wire.Status{}}
+		r, nd := setUp(p, 1)
+		r.Round(t.Context(), at(0))
+		join(nd, at(20), 2, &peerpb.Hold{Kind: "recall", Name: "x0", InFlight: 3})
+		r.Round(t.Context(), at(20))
+		st := p.statuses["recall/x0"]
+		assert.Equal(t, st.InFlight, 3)
+		assert.Assert(t, !st.Done)
+	})
+	t.Run("another reporter's write is replaced, not fought over", func(t *testing.T) {
+		p := &platform{statuses: map[string]wire.Status{"recall/x0": {Version: 9, Reporter: "other"}}}
+		r, _ := setUp(p, 1)
+		r.Round(t.Context(), at(0))
+		r.Round(t.Context(), at(2))
+		assertWrites(t, p, 1)
+		assert.Equal(t, p.statuses["recall/x0"].Version, uint64(10))
+	})
+	t.Run("the rate is limited", func(t *testing.T) {
+		p := &platform{statuses: map[string]wire.Status{}}
+		r, _ := setUp(p, 100)
+		r.Round(t.Context(), at(0))
+		assertWrites(t, p, 20)
+		r.Round(t.Context(), at(2))
+		assertWrites(t, p, 30)
+	})
+	t.Run("an invalid object says why", func(t *testing.T) {
+		p := &platform{statuses: map[string]wire.Status{}}
+		r, nd := setUp(p, 1)
+		nd.Store().Offer(&peerpb.Record{Kind: "recall", Name: "x0", Version: 2, Spec: []byte(`{"batch":""}`)})
+		r.Round(t.Context(), at(0))
+		st := p.statuses["recall/x0"]
+		assert.Equal(t, st.ForceVersion, uint64(1))
+		assert.Assert(t, st.Reason != "")
+	})
+}
--- a/steerd/pkg/watch/watch.go
+++ b/steerd/pkg/watch/watch.go
@@ -11,6 +11,7 @@
 
 	"github.com/cenkalti/backoff/v5"
 
+	"rosemarygrade.dev/lib/pkg/pause"
 	"rosemarygrade.dev/lib/pkg/peerpb"
 	"rosemarygrade.dev/lib/pkg/plat"
 	"rosemarygrade.dev/lib/pkg/rank"
@@ -64,12 +65,12 @@
 	for ctx.Err() == nil {
 		if !w.Chosen(time.Now()) {
 			w.revision = 0
-			sleep(ctx, idlePause)
+			pause.For(ctx, idlePause)
 			continue
 		}
 		if err := w.Step(ctx); err != nil {
 			w.log.Warn("platform", "op", "watch", "err", err)
-			sleep(ctx, wait.NextBackOff())
+			pause.For(ctx, wait.NextBackOff())
 			continue
 		}
 		wait.Reset()
@@ -112,7 +113,7 @@
 		if w.node.Ready() && w.Chosen(time.Now()) {
 			w.pollHosts(ctx)
 		}
-		sleep(ctx, hostsEvery+time.Duration(rand.Int64N(int64(idlePause))))
+		pause.For(ctx, hostsEvery+time.Duration(rand.Int64N(int64(idlePause))))
 	}
 	return nil
 }
@@ -148,12 +149,3 @@
 	slices.Sort(out)
 	return out
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
