Rank reporters in two steps, bound the bytes of kept answers, name files by what they hold

Cause: read as at tomorrow's size. A reporter ranked all 3,150 steerds for each of 4,200 objects twice a second (worked out: over a core); kept answers could grow to 500,000 x 16 KiB. Change: the data centre ranks first, then a host in it, kept while the list of steerds stays the same; answers are kept up to 64 MiB in all (TestKeptBytesAreBounded). ledger.go is runs.go and elect.go is directory.go. Not measured at that size.

--- a/_scripts/breaks.sh
+++ b/_scripts/breaks.sh
@@ -47,7 +47,7 @@
 broken entryd/pkg/record/record.go 's/if r.digest != d/if false/' ./entryd/pkg/record TestBegin
 broken entryd/pkg/record/record.go 's/		return Join{r}/		return Fresh{r}/' ./entryd/pkg/record TestBegin
 broken entryd/pkg/record/shelf.go 's/if b == nil || !b.complete/if b == nil/' ./entryd/pkg/record TestStop
-broken entryd/pkg/owner/ledger.go 's/if s, ok := r.states\[id\]; ok \&\& s.voided/if false/;s/if s, ok := r.states\[id\]; ok \&\& !s.voided/if s, ok := r.states[id]; ok \&\& !s.voided/' ./entryd/pkg/owner TestRuns
+broken entryd/pkg/owner/runs.go 's/if s, ok := r.states\[id\]; ok \&\& s.voided/if false/;s/if s, ok := r.states\[id\]; ok \&\& !s.voided/if s, ok := r.states[id]; ok \&\& !s.voided/' ./entryd/pkg/owner TestRuns
 broken entryd/pkg/owner/guard.go 's/if g.held \&\& echo >= g.needed/if g.held/' ./entryd/pkg/owner TestGuard
 broken entryd/pkg/owner/owner.go 's/s.queue.SetLimit(takeoverShare)/s.queue.SetLimit(1)/' ./entryd/pkg/owner TestOwnership
 broken entryd/pkg/owner/owner.go 's/^	s.flush(now)$/	_ = now/' ./entryd/pkg/owner TestOwnership
--- a/entryd/pkg/record/record.go
+++ b/entryd/pkg/record/record.go
@@ -35,6 +35,8 @@
 	maxRecords = 500_000
 	// MaxBody is the largest answer that is kept.
 	MaxBody = 16 << 10
+	// maxKept bounds the bytes of all kept answers; further ones are not kept.
+	maxKept = 64 << 20
 	minRand = 8
 	// keyParts is how many parts a key has.
 	keyParts = 3
@@ -160,6 +162,7 @@
 	lowest  int64
 	slots   map[int64]map[string]*Record
 	count   int
+	kept    int
 	stopped bool
 	// complete is used by a shelf: every piece of the book has come.
 	complete bool
@@ -216,6 +219,9 @@
 	for slot, records := range b.slots {
 		if slot < lowest && allDone(records) {
 			b.count -= len(records)
+			for _, r := range records {
+				b.kept -= len(r.answer.Body)
+			}
 			delete(b.slots, slot)
 		}
 	}
@@ -242,9 +248,10 @@
 		return
 	default:
 	}
-	if len(answer.Body) > MaxBody {
+	if len(answer.Body) > MaxBody || b.kept+len(answer.Body) > maxKept {
 		answer.Body, answer.Kept = nil, false
 	}
+	b.kept += len(answer.Body)
 	r.outcome, r.refused, r.answer = outcome, refused, answer
 	close(r.done)
 }
--- a/entryd/pkg/record/record_test.go
+++ b/entryd/pkg/record/record_test.go
@@ -100,6 +100,21 @@
 	})
 }
 
+func TestKeptBytesAreBounded(t *testing.T) {
+	b := record.NewBook(start, incarnation)
+	kept, size := 0, 0
+	for i := range 6000 {
+		r := begin(t, b, start, key(t, incarnation, 0, fmt.Sprintf("random-%d", i)))
+		b.Finish(r, flow.OutcomeRan, flow.Refused{}, record.Answer{Body: make([]byte, record.MaxBody), Kept: true})
+		if r.Answer().Kept {
+			kept++
+			size += len(r.Answer().Body)
+		}
+	}
+	assert.Equal(t, size, 64<<20)
+	assert.Assert(t, kept < 6000)
+}
+
 func TestStop(t *testing.T) {
 	b := record.NewBook(start, incarnation)
 	used, unused, running := key(t, incarnation, 0, "random-1"), key(t, incarnation, 0, "random-2"), key(t, incarnation, 0, "random-3")
--- a/lib/pkg/rank/rank.go
+++ b/lib/pkg/rank/rank.go
@@ -40,6 +40,18 @@
 	return out
 }
 
+// First returns the holder of the role among the candidates; ok is false where there are none.
+func First[T any](role string, candidates []T, name func(T) string) (holder T, ok bool) {
+	var best uint64
+	for _, c := range candidates {
+		score := Score(role, name(c))
+		if !ok || score > best || (score == best && name(c) < name(holder)) {
+			holder, best, ok = c, score, true
+		}
+	}
+	return holder, ok
+}
+
 // Within tells whether self is among the first n holders of the role.
 func Within[T any](role string, n int, candidates []T, name func(T) string, self string) bool {
 	for i, c := range Order(role, candidates, name) {
--- a/steerd/pkg/report/report.go
+++ b/steerd/pkg/report/report.go
@@ -13,7 +13,6 @@
 	"rosemarygrade.dev/lib/pkg/member"
 	"rosemarygrade.dev/lib/pkg/peerpb"
 	"rosemarygrade.dev/lib/pkg/plat"
-	"rosemarygrade.dev/lib/pkg/rank"
 	"rosemarygrade.dev/lib/pkg/store"
 	"rosemarygrade.dev/lib/pkg/wire"
 	"rosemarygrade.dev/steerd/pkg/node"
@@ -38,6 +37,7 @@
 	log     *slog.Logger
 	limiter *rate.Limiter
 	written map[store.Key]written
+	duty    duty
 }
 
 // written is the last status that this reporter wrote.
@@ -63,6 +63,7 @@
 	return &Reporter{
 		node: n, client: client, log: log,
 		limiter: rate.NewLimiter(writesPerSecond, writesBurst), written: map[store.Key]written{},
+		duty: duty{host: n.Host()},
 	}
 }
 
@@ -96,7 +97,7 @@
 
 // Due returns the status of each object that this steerd reports and that has changed.
 func (r *Reporter) Due(now time.Time) map[store.Key]wire.Status {
-	steerds := r.node.Steerds(now, func(*peerpb.Member) bool { return true })
+	r.duty.renew(r.node.Steerds(now, func(*peerpb.Member) bool { return true }))
 	hash := r.node.Store().Hash()
 	var (
 		inForce, known int
@@ -110,7 +111,7 @@
 			continue
 		}
 		last := r.written[key]
-		if now.Sub(last.at) < minInterval || !rank.Within("reporter/"+key.Kind+"/"+key.Name, 1, steerds, (*peerpb.Member).GetHost, r.node.Host()) {
+		if now.Sub(last.at) < minInterval || !r.duty.has(key) {
 			continue
 		}
 		st := statusOf(key, e, inForce, known, holds)
