--- a/standin/pkg/fleet/faults_test.go
+++ b/standin/pkg/fleet/faults_test.go
@@ -1,7 +1,10 @@
 package fleet_test
 
 import (
+	"cmp"
+	"math/rand/v2"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"syscall"
@@ -33,14 +36,16 @@
 	}
 }
 
-// TestUnplannedFaults checks under each fault what must hold of every answer.
-func TestUnplannedFaults(t *testing.T) {
-	rows := []struct {
-		name  string
-		harm  func(f *fleet)
-		mend  func(f *fleet)
-		slots int
-	}{
+// faultRow is a fault, how it is mended, and how much of its slots a server may see used.
+type faultRow struct {
+	name  string
+	harm  func(f *fleet)
+	mend  func(f *fleet)
+	slots int
+}
+
+func faults() []faultRow {
+	return []faultRow{
 		{"entryd killed", func(f *fleet) { f.entryds[0].kill() }, func(f *fleet) { f.entryds[0].start() }, slots * overlap},
 		{"entryd suspended", func(f *fleet) { f.entryds[0].signal(syscall.SIGSTOP) }, func(f *fleet) { f.entryds[0].signal(syscall.SIGCONT) }, slots * overlap},
 		{"steerd killed", func(f *fleet) { f.steerds[0].kill() }, func(f *fleet) { f.steerds[0].start() }, slots},
@@ -61,24 +66,60 @@
 		{"servers answer garbage", func(f *fleet) { f.serverFaults("ala-1", bksrv.Faults{Garbage: true}) }, func(f *fleet) { f.serverFaults("ala-1", bksrv.Faults{}) }, slots},
 		{"servers shed", func(f *fleet) { f.serverFaults("ala-1", bksrv.Faults{Shed: true}) }, func(f *fleet) { f.serverFaults("ala-1", bksrv.Faults{}) }, slots},
 	}
+}
+
+// bringAbout runs traffic, brings about the faults one after the other while the earlier ones last,
+// mends them in turn, and checks what must hold of every answer.
+func bringAbout(t *testing.T, rows ...faultRow) []seen {
+	t.Helper()
+	f := newFleet(t)
+	tr := f.send(workers)
+	most := 0
+	for _, r := range rows {
+		time.Sleep(settle)
+		r.harm(f)
+		most = max(most, r.slots)
+	}
+	time.Sleep(2 * settle)
 	for _, r := range rows {
+		r.mend(f)
+	}
+	time.Sleep(settle)
+	all := tr.end()
+	assertTrue(t, f, all)
+	assertSlots(t, f, most)
+	return all
+}
+
+// TestUnplannedFaults checks under each fault what must hold of every answer.
+func TestUnplannedFaults(t *testing.T) {
+	for _, r := range faults() {
 		t.Run(r.name, func(t *testing.T) {
 			t.Parallel()
-			f := newFleet(t)
-			tr := f.send(workers)
-			time.Sleep(settle)
-			r.harm(f)
-			time.Sleep(2 * settle)
-			r.mend(f)
-			time.Sleep(settle)
-			all := tr.end()
-			assertTrue(t, f, all)
-			assertSlots(t, f, r.slots)
+			all := bringAbout(t, r)
 			assert.Assert(t, count(all, whole) > len(all)/2, "most requests are answered")
 		})
 	}
 }
 
+// TestPairsOfFaults checks pairs that a fixed seed chooses; FLEET_SEED chooses others. The first
+// fault is of the platform or of servers, the second of processes: two of a kind would undo each other.
+func TestPairsOfFaults(t *testing.T) {
+	const pairs, processFaults = 5, 6
+	seed, err := strconv.ParseUint(cmp.Or(os.Getenv("FLEET_SEED"), "20261204"), 10, 64)
+	assert.NilError(t, err)
+	rnd := rand.New(rand.NewPCG(seed, 0))
+	rows := faults()
+	for range pairs {
+		first, second := rows[processFaults+rnd.IntN(len(rows)-processFaults)], rows[rnd.IntN(processFaults)]
+		t.Run(first.name+" and "+second.name, func(t *testing.T) {
+			t.Parallel()
+			t.Logf("seed %d", seed)
+			bringAbout(t, first, second)
+		})
+	}
+}
+
 // TestPlannedStop checks that a stop by signal cuts and refuses nothing.
 func TestPlannedStop(t *testing.T) {
 	t.Parallel()
