--- a/entryd/cmds/docs_test.go
+++ b/entryd/cmds/docs_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"os"
-	"path/filepath"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -13,13 +12,5 @@
 
 // TestDocs checks that the committed page is the command's help. UPDATE_DOCS=1 writes it anew.
 func TestDocs(t *testing.T) {
-	page := filepath.Join("..", "..", "docs", "commands", "entryd.md")
-	want, err := help.Markdown(cmds.Command())
-	assert.NilError(t, err)
-	if os.Getenv("UPDATE_DOCS") != "" {
-		assert.NilError(t, os.WriteFile(page, []byte(want), 0o600))
-	}
-	got, err := os.ReadFile(page)
-	assert.NilError(t, err)
-	assert.Equal(t, string(got), want, "run make docs")
+	assert.NilError(t, help.Check(cmds.Command(), "../../docs/commands/entryd.md", os.Getenv("UPDATE_DOCS") != ""))
 }
--- a/entryd/cmds/lend.go
+++ b/entryd/cmds/lend.go
@@ -14,10 +14,14 @@
 
 // lend offers unused shares of links to their keepers and asks for more where requests wait.
 func (p *process) lend(ctx context.Context, now time.Time) {
-	keepers := p.keepers()
-	offers := p.links.Offers(now, p.incarnation, func(to string) uint64 { return keepers(to).GetIncarnation() })
+	keeperOf := p.keepers()
+	keepers := map[string]*peerpb.Member{}
+	offers := p.links.Offers(now, p.incarnation, func(to string) uint64 {
+		keepers[to] = keeperOf(to)
+		return keepers[to].GetIncarnation()
+	})
 	for to, o := range offers {
-		go p.offer(ctx, keepers(to), to, o)
+		go p.offer(ctx, keepers[to], to, o)
 	}
 }
 
@@ -50,9 +54,7 @@
 		}
 	}
 	return func(to string) *peerpb.Member {
-		if len(able) == 0 {
-			return nil
-		}
-		return rank.Order("link/"+region+"/"+to, able, (*peerpb.Member).GetHost)[0]
+		keeper, _ := rank.First("link/"+region+"/"+to, able, (*peerpb.Member).GetHost)
+		return keeper
 	}
 }
--- a/entryd/cmds/process.go
+++ b/entryd/cmds/process.go
@@ -33,6 +33,7 @@
 	pool        *peer.Pool
 	steer       *steer.Client
 	links       *links.Links
+	blocks      *caller.Blocks
 	peers       *entry.Client
 	servers     *server.Client
 	owner       *owner.Owner
@@ -53,6 +54,7 @@
 	}
 	p.steer = steer.New(pool, s.Steerds, p, log.Layer("steer"))
 	p.links = links.New(s.Region)
+	p.blocks = caller.NewBlocks(s.Region)
 	p.peers = entry.NewClient(pool, p.links)
 	p.servers = server.NewClient()
 	p.owner = owner.New(now, p.incarnation, p.servers, p.peers, log.Layer("owner"))
@@ -61,7 +63,7 @@
 		Where:       place.Where{DataCentre: s.DataCentre, Region: s.Region},
 		Incarnation: p.incarnation, Views: p.steer, Owner: p.owner, Peers: p.peers, Book: p.book, Log: log.Layer("proxy"),
 	})
-	p.caller = caller.New(p.proxy, caller.NewBlocks(s.Region, p.steer.Snapshot), log.Layer("caller"))
+	p.caller = caller.New(p.proxy, p.blocks, log.Layer("caller"))
 	p.data = entry.NewServer(p.incarnation, p.proxy, p.owner, p.links)
 	p.publish()
 	return p
@@ -110,6 +112,7 @@
 		return
 	}
 	snap := p.steer.Snapshot()
+	p.blocks.Refresh(snap)
 	p.links.Configure(now, snap)
 	p.owner.Update(context.WithoutCancel(ctx), now, snap, p.steer.Members())
 }
--- a/entryd/pkg/caller/caller_test.go
+++ b/entryd/pkg/caller/caller_test.go
@@ -72,7 +72,9 @@
 		Where: place.Where{DataCentre: "a", Region: "r"}, Incarnation: self, Views: v, Owner: own,
 		Book: record.NewBook(time.Now(), self), Log: log,
 	})
-	s := httptest.NewUnstartedServer(caller.New(p, caller.NewBlocks("r", v.Snapshot), log).Handler())
+	blocks := caller.NewBlocks("r")
+	blocks.Refresh(v.snap)
+	s := httptest.NewUnstartedServer(caller.New(p, blocks, log).Handler())
 	s.Config.MaxHeaderBytes = 16 << 10
 	s.Start()
 	t.Cleanup(s.Close)
--- a/entryd/pkg/caller/regions.go
+++ b/entryd/pkg/caller/regions.go
@@ -3,6 +3,7 @@
 import (
 	"net/netip"
 	"sync"
+	"sync/atomic"
 
 	"rosemarygrade.dev/lib/pkg/block"
 	"rosemarygrade.dev/lib/pkg/model"
@@ -10,23 +11,29 @@
 
 // Blocks finds the region of callers by the blocks of the configuration. It is safe for concurrent use.
 type Blocks struct {
-	snapshot func() *model.Snapshot
-	own      string
+	own   string
+	table atomic.Pointer[block.Table]
 
 	mu    sync.Mutex
 	cache block.Cache
 }
 
 // NewBlocks returns a finder for a host in the region.
-func NewBlocks(own string, snapshot func() *model.Snapshot) *Blocks {
-	return &Blocks{own: own, snapshot: snapshot}
+func NewBlocks(own string) *Blocks { return &Blocks{own: own} }
+
+// Refresh takes in a configuration. A table takes long to build, so requests never wait for it.
+func (b *Blocks) Refresh(snap *model.Snapshot) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.table.Store(b.cache.Table(snap))
 }
 
 // RegionOf implements Regions.
 func (b *Blocks) RegionOf(addr netip.Addr) string {
-	b.mu.Lock()
-	t := b.cache.Table(b.snapshot())
-	b.mu.Unlock()
+	t := b.table.Load()
+	if t == nil {
+		return b.own
+	}
 	if region, ok := t.Region(addr); ok {
 		return region
 	}
--- a/entryd/pkg/owner/directory.go
+++ b/entryd/pkg/owner/directory.go
@@ -59,9 +59,7 @@
 	return d.all
 }
 
-func ranked(site *model.Site, members []*peerpb.Member) []*peerpb.Member {
-	return rank.Order("owner/"+site.ID().String(), members, (*peerpb.Member).GetHost)
-}
+func role(site *model.Site) string { return "owner/" + site.ID().String() }
 
 // Owner returns the owner of a site, or nil.
 func (d *Directory) Owner(site *model.Site) *peerpb.Member {
@@ -69,12 +67,11 @@
 		found, _ := m.(*peerpb.Member)
 		return found
 	}
-	near := ranked(site, d.nearest(site))
-	if len(near) == 0 {
-		return nil
+	first, ok := rank.First(role(site), d.nearest(site), (*peerpb.Member).GetHost)
+	if ok {
+		d.owners.Store(site.ID(), first)
 	}
-	d.owners.Store(site.ID(), near[0])
-	return near[0]
+	return first
 }
 
 // Others returns hosts besides the owner that may hold a site: the next ones by rank among the
@@ -84,7 +81,7 @@
 	seen := map[uint64]bool{first.GetIncarnation(): true}
 	var out []*peerpb.Member
 	for _, tier := range [][]*peerpb.Member{d.nearest(site), d.regions[site.Region()]} {
-		for _, m := range ranked(site, tier) {
+		for _, m := range rank.Order(role(site), tier, (*peerpb.Member).GetHost) {
 			if len(out) < n && !seen[m.GetIncarnation()] {
 				seen[m.GetIncarnation()] = true
 				out = append(out, m)
--- a/entryd/pkg/owner/owner.go
+++ b/entryd/pkg/owner/owner.go
@@ -79,6 +79,9 @@
 	}
 }
 
+// Directories returns the directory of owners, so that requests are sent by the same one.
+func (o *Owner) Directories() *Directories { return &o.directories }
+
 // Guard returns the guard that holds dispatch back after a suspension.
 func (o *Owner) Guard() *Guard { return o.guard }
 
--- a/entryd/pkg/proxy/proxy.go
+++ b/entryd/pkg/proxy/proxy.go
@@ -63,8 +63,6 @@
 
 	mu      sync.Mutex
 	retries map[string]*budget.Budget
-
-	directories owner.Directories
 }
 
 // Config holds the parts of a proxy.
@@ -237,7 +235,7 @@
 // offer sends the request to the owner of a site.
 func (r *round) offer(ctx context.Context, snap *model.Snapshot, c place.Choice) flow.Result {
 	p := r.proxy
-	m := p.directories.For(snap, p.views.Members()).Owner(c.Site)
+	m := p.owner.Directories().For(snap, p.views.Members()).Owner(c.Site)
 	if m == nil {
 		return flow.NotRun(flow.RefusedNotOwner, "no live host can own the site")
 	}
--- a/entryd/pkg/steer/steer.go
+++ b/entryd/pkg/steer/steer.go
@@ -45,7 +45,6 @@
 	members  []*peerpb.Member
 	ready    bool
 	attached string
-	heardAt  time.Time
 	kick     chan struct{}
 }
 
@@ -178,7 +177,6 @@
 		c.members = v.GetMembers()
 	}
 	c.ready = c.ready || v.GetReady()
-	c.heardAt = now
 	c.mu.Unlock()
 	c.process.Viewed(ctx, now, v.GetEcho())
 }
--- a/lib/pkg/help/help.go
+++ b/lib/pkg/help/help.go
@@ -3,7 +3,9 @@
 
 import (
 	"bytes"
+	"os"
 
+	"github.com/rotisserie/eris"
 	"github.com/spf13/cobra"
 	"github.com/spf13/cobra/doc"
 )
@@ -29,6 +31,31 @@
 	return b.String(), nil
 }
 
+// Check compares a command's help with the page that is committed for it. With write it writes the
+// page first.
+func Check(cmd *cobra.Command, page string, write bool) error {
+	want, err := Markdown(cmd)
+	if err != nil {
+		return err
+	}
+	if write {
+		if err := os.WriteFile(page, []byte(want), pageMode); err != nil {
+			return err
+		}
+	}
+	got, err := os.ReadFile(page)
+	if err != nil {
+		return err
+	}
+	if string(got) != want {
+		return eris.Errorf("%s is not the command's help: run make docs", page)
+	}
+	return nil
+}
+
+// pageMode is the mode of a written page.
+const pageMode = 0o644
+
 // anchor turns the file name that the generator links to into a heading on the same page.
 func anchor(link string) string {
 	name := bytes.TrimSuffix([]byte(link), []byte(".md"))
--- a/lib/pkg/member/member.go
+++ b/lib/pkg/member/member.go
@@ -53,7 +53,6 @@
 	timing     Timing
 	items      map[uint64]*item
 	centres    map[string]*centre
-	version    uint64
 }
 
 // New returns a table for a process in the data centre.
@@ -64,9 +63,6 @@
 	}
 }
 
-// Version counts the changes of what Live returns, other than by the passing of time.
-func (t *Table) Version() uint64 { return t.version }
-
 // Observe takes in what a member of the own data centre says of itself.
 func (t *Table) Observe(now time.Time, m *peerpb.Member) {
 	if m.GetDataCentre() != t.dataCentre || m.GetIncarnation() == 0 {
@@ -75,22 +71,17 @@
 	it := t.items[m.GetIncarnation()]
 	if it == nil {
 		t.items[m.GetIncarnation()] = &item{member: proto.CloneOf(m), seq: m.GetSeq(), advanced: now}
-		t.version++
 		return
 	}
 	if m.GetSeq() > it.seq {
-		t.advance(now, it, m.GetSeq())
+		it.advance(now, m.GetSeq())
 	}
 	if m.GetRevision() > it.member.GetRevision() {
 		it.member = proto.CloneOf(m)
-		t.version++
 	}
 }
 
-func (t *Table) advance(now time.Time, it *item, seq uint64) {
-	if now.Sub(it.advanced) >= t.timing.Dead {
-		t.version++
-	}
+func (it *item) advance(now time.Time, seq uint64) {
 	it.seq = seq
 	it.advanced = now
 }
@@ -131,7 +122,7 @@
 			continue
 		}
 		if b.Seqs[i] > it.seq {
-			t.advance(now, it, b.Seqs[i])
+			it.advance(now, b.Seqs[i])
 		}
 		if b.Revisions[i] > it.member.GetRevision() {
 			wanted = append(wanted, inc)
@@ -349,7 +340,6 @@
 		next := shallow(s)
 		switch {
 		case len(s.GetMembers()) > 0:
-			t.version++
 		case old != nil && old.summary.GetHash() == s.GetHash():
 			next.Members = old.summary.GetMembers()
 		default:
