Serve the users' platform: edged, its adapter, and the deploy file

Cause: the product spoke only its own object API and interface. Ruled out for now: one site owner per service and data centre (a hop and a second daemon for each request). Change: each host follows the store, chooses a backend server by rendezvous hash with counts shared by datagrams, and sends itself.

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 # Needs Go and make. Everything is built into .build.
-MODULES := lib steerd entryd rosectl standin
-PROGRAMS := steerd entryd rosectl standin
+MODULES := lib steerd entryd rosectl standin platform edged
+PROGRAMS := steerd entryd rosectl standin edged
 
 .PHONY: build test demo bench capacity docs
 
--- /dev/null
+++ b/edged/cmds/process.go
@@ -0,0 +1,255 @@
+package cmds
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"log/slog"
+	"net"
+	"net/http"
+	"os"
+	"runtime/debug"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"rosemarygrade.dev/edged/pkg/conns"
+	"rosemarygrade.dev/edged/pkg/follow"
+	"rosemarygrade.dev/edged/pkg/gate"
+	"rosemarygrade.dev/edged/pkg/mesh"
+	"rosemarygrade.dev/edged/pkg/pick"
+	"rosemarygrade.dev/lib/pkg/logs"
+	"rosemarygrade.dev/lib/pkg/plan"
+	"rosemarygrade.dev/lib/pkg/serve"
+	"rosemarygrade.dev/platform/adapt"
+)
+
+// Times and limits of the process.
+const (
+	beatEvery  = 100 * time.Millisecond
+	sweepEvery = time.Second
+	// joinPause is the pause between tries to declare this host in the store.
+	joinPause = time.Second
+	joinWait  = time.Second
+	// acceptAfterStop is how long a stopping host still takes requests: callers keep look-ups for seconds.
+	acceptAfterStop = 2500 * time.Millisecond
+	// stopMargin is how much before the end of the grace time the process ends.
+	stopMargin = 500 * time.Millisecond
+	// memoryUse is the part of the process's memory at which the collector works harder.
+	memoryUse = 0.6
+	// gcPercent keeps the heap small: memory is dear and the heap is a few megabytes.
+	gcPercent = 50
+	// Limits of callers' connections while no configuration is known.
+	headerWait  = 3 * time.Second
+	idleWait    = 60 * time.Second
+	headerBytes = 16 << 10
+	megabyte    = 1 << 20
+)
+
+// process holds the parts of an edged.
+type process struct {
+	settings *Settings
+	log      *slog.Logger
+	state    *follow.State
+	table    *pick.Table
+	pool     *conns.Pool
+	mesh     *mesh.Mesh
+	gate     *gate.Gate
+	source   plan.Source
+	stopping atomic.Bool
+	calls    atomic.Uint64
+}
+
+// View implements gate.Env.
+func (p *process) View() *plan.View { return p.state.View() }
+
+// Keeper implements gate.Env.
+func (p *process) Keeper(b *plan.Backend) bool { return p.mesh.Keeper(time.Now(), b) }
+
+// Hosts implements gate.Env.
+func (p *process) Hosts() int { return p.mesh.Most() }
+
+// Region implements gate.Env.
+func (p *process) Region() string { return p.settings.Region }
+
+func newProcess(s *Settings, f *logs.Factory) (*process, error) {
+	p := &process{
+		settings: s, log: f.Layer("main"), state: follow.NewState(s.Regions, f.Layer("follow")),
+		table: pick.New(), pool: conns.NewPool(conns.Dialer(), adapt.EchoedID),
+	}
+	self := mesh.Self{
+		Name: s.Host, DataCentre: s.DataCentre, Region: s.Region, IP: s.IP, Port: s.PeerPorts[0], Regions: s.Regions,
+	}
+	for _, seed := range s.Seeds {
+		ip, _, err := net.SplitHostPort(seed)
+		if err != nil {
+			return nil, err
+		}
+		self.Seeds = append(self.Seeds, ip)
+	}
+	var err error
+	if p.mesh, err = mesh.New(time.Now(), self, p.state, p.table, f.Layer("mesh")); err != nil {
+		return nil, err
+	}
+	p.source = adapt.NewStore(s.StoreAddress, conns.Control, func(string) { p.calls.Add(1) })
+	repeats := pick.NewRepeats(pick.BudgetRule{
+		Window: seconds(s.RepeatWindowSeconds), Ratio: s.RepeatRatio, Slack: s.RepeatSlack,
+	})
+	p.gate = gate.New(p, adapt.Speech{}, p.pool, p.table, repeats, f.Layer("gate"))
+	return p, nil
+}
+
+func run(ctx context.Context, s *Settings, layers string) error {
+	debug.SetGCPercent(gcPercent)
+	debug.SetMemoryLimit(int64(memoryUse * float64(s.MemoryMegabytes) * megabyte))
+	factory := logs.New(os.Stdout, layers, "process", "edged", "host", s.Host)
+	p, err := newProcess(s, factory)
+	if err != nil {
+		return err
+	}
+	listeners, err := p.listen()
+	if err != nil {
+		return err
+	}
+	g := serve.NewGroup(context.WithoutCancel(ctx))
+	front := &http.Server{Handler: p.gate, ReadHeaderTimeout: headerWait, IdleTimeout: idleWait, MaxHeaderBytes: headerBytes}
+	g.Go(func(context.Context) error { return serveFront(front, listeners[0]) })
+	g.HTTP(listeners[1], http.HandlerFunc(p.ready))
+	g.HTTP(listeners[2], http.HandlerFunc(p.lookup))
+	g.HTTP(listeners[3], p.mesh.Handler())
+	follower := follow.New(p.source, p.state, func(time.Time) bool { return true }, factory.Layer("follow"))
+	for _, t := range plan.Topics() {
+		g.Go(func(ctx context.Context) error { return follower.Run(ctx, t) })
+	}
+	g.Go(p.mesh.Run)
+	g.Go(p.beat)
+	g.Go(p.join)
+	g.Every(sweepEvery, p.sweep)
+	g.Go(func(life context.Context) error {
+		select {
+		case <-ctx.Done():
+		case <-life.Done():
+			return nil
+		}
+		return p.stop(life, front)
+	})
+	p.log.Info("started", "event", "start", "caller", s.CallerAddress, "store", s.StoreAddress)
+	err = g.Wait()
+	if errors.Is(err, errStopped) {
+		p.log.Info("stopped", "event", "stop")
+		return nil
+	}
+	return err
+}
+
+func (p *process) listen() ([]net.Listener, error) {
+	peers := net.JoinHostPort(p.settings.IP, strconv.Itoa(p.settings.PeerPorts[0]))
+	return serve.Listen(p.settings.CallerAddress, p.settings.ReadyAddress, p.settings.LookupAddress, peers)
+}
+
+func serveFront(front *http.Server, l net.Listener) error {
+	if err := front.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
+}
+
+// beat tells other hosts of this one, at once when something was declared.
+func (p *process) beat(ctx context.Context) error {
+	t := time.NewTicker(beatEvery)
+	defer t.Stop()
+	for {
+		urgent := false
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-t.C:
+		case <-p.state.Changed():
+			urgent = true
+		}
+		now := time.Now()
+		p.mesh.SetServing(p.isReady())
+		p.mesh.Tick(now, urgent)
+	}
+}
+
+// join declares this host in the store.
+func (p *process) join(ctx context.Context) error {
+	for ctx.Err() == nil {
+		call, cancel := context.WithTimeout(ctx, joinWait)
+		err := p.source.Join(call, plan.Member{Name: p.settings.Host, IP: p.settings.IP})
+		cancel()
+		if err == nil {
+			return nil
+		}
+		p.log.Warn("host not declared in the store", "event", "join", "error", err)
+		select {
+		case <-ctx.Done():
+		case <-time.After(joinPause):
+		}
+	}
+	return nil
+}
+
+func (p *process) sweep(_ context.Context, now time.Time) {
+	v := p.state.View()
+	p.state.Tick(now)
+	p.table.Keep(now, v)
+	p.pool.Sweep(now, v.Knows)
+}
+
+func (p *process) isReady() bool { return !p.stopping.Load() && p.state.View().Config() != nil }
+
+// ready answers the platform's check.
+func (p *process) ready(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path != adapt.PathReady {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	if !p.isReady() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+// lookup answers callers' look-ups.
+func (p *process) lookup(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path != adapt.PathLookup {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	q := adapt.ReadLookup(r)
+	answer, lifetime := p.hostsFor(time.Now(), q.Region, q.DataCentre)
+	if len(answer) == 0 {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	if err := json.NewEncoder(w).Encode(adapt.NewLookupAnswer(answer, lifetime)); err != nil {
+		p.log.Debug("look-up not answered", "event", "lookup", "error", err)
+	}
+}
+
+// errStopped ends the group after a planned stop.
+var errStopped = errors.New("stopped")
+
+// stop ends the process without cutting a request.
+func (p *process) stop(ctx context.Context, front *http.Server) error {
+	begin := time.Now()
+	p.log.Info("stopping", "event", "stopping", "inFlight", p.gate.InFlight())
+	p.stopping.Store(true)
+	p.gate.Stop()
+	p.mesh.SetServing(false)
+	p.mesh.Tick(begin, true)
+	select {
+	case <-ctx.Done():
+	case <-time.After(acceptAfterStop):
+	}
+	end, cancel := context.WithDeadline(ctx, begin.Add(seconds(p.settings.GraceSeconds)-stopMargin))
+	defer cancel()
+	if err := front.Shutdown(end); err != nil {
+		p.log.Warn("requests cut by the end of the grace time", "event", "cut", "inFlight", p.gate.InFlight(), "error", err)
+	}
+	return errStopped
+}
--- /dev/null
+++ b/edged/cmds/settings.go
@@ -0,0 +1,97 @@
+package cmds
+
+import (
+	"time"
+
+	"rosemarygrade.dev/lib/pkg/config"
+)
+
+// Settings are the settings of an edged. Times are in seconds.
+type Settings struct {
+	// Host is the name of the host.
+	Host string `json:"host"`
+	// IP is the host's address.
+	IP string `json:"ip"`
+	// DataCentre is where the host stands.
+	DataCentre string `json:"dataCentre"`
+	// Region is the region of the data centre.
+	Region string `json:"region"`
+	// Regions gives the region of each data centre.
+	Regions map[string]string `json:"regions"`
+	// CallerAddress is the IP:port at which callers send requests.
+	CallerAddress string `json:"callerAddress"`
+	// ReadyAddress is the IP:port for the platform's check.
+	ReadyAddress string `json:"readyAddress"`
+	// LookupAddress is the IP:port for look-ups.
+	LookupAddress string `json:"lookupAddress"`
+	// AdminAddress is the IP:port for operators.
+	AdminAddress string `json:"adminAddress"`
+	// PeerPorts are the first and the last port for the system's own processes.
+	PeerPorts []int `json:"peerPorts"`
+	// Seeds are addresses of hosts to ask for others; they may be out of date.
+	Seeds []string `json:"seeds"`
+	// StoreAddress is the IP:port of the platform's store.
+	StoreAddress string `json:"storeAddress"`
+	// MemoryMegabytes is what the process may use.
+	MemoryMegabytes int `json:"memoryMegabytes"`
+	// GraceSeconds is the time from SIGTERM to SIGKILL.
+	GraceSeconds float64 `json:"graceSeconds"`
+	// RepeatRatio, RepeatWindowSeconds and RepeatSlack bound the repeats of all hosts together.
+	RepeatRatio         float64 `json:"repeatRatio"`
+	RepeatWindowSeconds float64 `json:"repeatWindowSeconds"`
+	RepeatSlack         float64 `json:"repeatSlack"`
+	// LookupLifetimeSeconds is the longest time for which callers keep an answer.
+	LookupLifetimeSeconds float64 `json:"lookupLifetimeSeconds"`
+	// MoveShare is the largest share of a region's requests that may change region in two seconds.
+	MoveShare float64 `json:"moveShare"`
+}
+
+// NewSettings returns the defaults.
+func NewSettings() *Settings {
+	return &Settings{
+		MemoryMegabytes: defaultMemory, GraceSeconds: defaultGrace, RepeatRatio: defaultRatio,
+		RepeatWindowSeconds: defaultWindow, LookupLifetimeSeconds: defaultLifetime, MoveShare: defaultMove,
+	}
+}
+
+// Defaults and limits of the settings; the platform's pages name the bounds that they stand in for.
+const (
+	defaultMemory   = 256
+	defaultGrace    = 6
+	defaultRatio    = 0.1
+	defaultWindow   = 10
+	defaultLifetime = 2
+	defaultMove     = 0.15
+	maxMemory       = 1 << 20
+	maxSeeds        = 1000
+	maxPort         = 65535
+	portsAtLeast    = 2
+)
+
+// Check implements config.Settings.
+func (s *Settings) Check() error {
+	var c config.Checker
+	c.Name("host", s.Host)
+	c.Name("dataCentre", s.DataCentre)
+	c.Name("region", s.Region)
+	c.Address("callerAddress", s.CallerAddress)
+	c.Address("readyAddress", s.ReadyAddress)
+	c.Address("lookupAddress", s.LookupAddress)
+	c.Address("adminAddress", s.AdminAddress)
+	c.Address("storeAddress", s.StoreAddress)
+	c.Address("ip", s.IP+":1")
+	c.Addresses("seeds", s.Seeds)
+	c.Range("seeds", len(s.Seeds), 0, maxSeeds)
+	c.Range("memoryMegabytes", s.MemoryMegabytes, 1, maxMemory)
+	c.Range("peerPorts", len(s.PeerPorts), portsAtLeast, portsAtLeast)
+	for _, p := range s.PeerPorts {
+		c.Range("peerPorts", p, 1, maxPort)
+	}
+	c.Positive("graceSeconds", s.GraceSeconds)
+	c.Positive("repeatWindowSeconds", s.RepeatWindowSeconds)
+	c.Positive("lookupLifetimeSeconds", s.LookupLifetimeSeconds)
+	c.Positive("moveShare", s.MoveShare)
+	return c.Err()
+}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- /dev/null
+++ b/edged/pkg/follow/state.go
@@ -0,0 +1,303 @@
+// Package follow keeps what is declared in a source: it follows the source itself or takes what peers
+// have read, and turns it into views.
+package follow
+
+import (
+	"log/slog"
+	"maps"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"rosemarygrade.dev/lib/pkg/plan"
+)
+
+// holdAfterReturn is how long entries that lapsed while the source was away are still believed after its
+// return: live backend servers are back about 2 s after it, by the platform's pages.
+const holdAfterReturn = 2200 * time.Millisecond
+
+// Snapshot is all that is known of a topic, as hosts pass it on.
+type Snapshot struct {
+	Topic    plan.Topic
+	Revision uint64
+	Changes  []plan.Change
+}
+
+// State is what is declared. It is safe for concurrent use.
+type State struct {
+	log     *slog.Logger
+	regions map[string]string
+	view    atomic.Pointer[plan.View]
+	changed chan struct{}
+
+	mu     sync.Mutex
+	topics map[plan.Topic]*topic
+	config *plan.Config
+	held   map[string]hold
+	back   time.Time
+	away   bool
+}
+
+type topic struct {
+	// revision is that of the last answer of the source; content is the last at which something changed.
+	revision uint64
+	content  uint64
+	known    bool
+	items    map[string]plan.Change
+}
+
+type hold struct {
+	spec  plan.BackendSpec
+	until time.Time
+}
+
+// NewState returns an empty state. Regions gives the region of each data centre.
+func NewState(regions map[string]string, log *slog.Logger) *State {
+	s := &State{
+		log: log, regions: regions, topics: map[plan.Topic]*topic{}, held: map[string]hold{},
+		changed: make(chan struct{}, 1),
+	}
+	for _, t := range plan.Topics() {
+		s.topics[t] = &topic{items: map[string]plan.Change{}}
+	}
+	s.view.Store(plan.NewView(nil, nil, nil, regions))
+	return s
+}
+
+// View returns the present view.
+func (s *State) View() *plan.View { return s.view.Load() }
+
+// Changed receives after changes.
+func (s *State) Changed() <-chan struct{} { return s.changed }
+
+// Revision returns the revision of a topic, and whether the topic is known at all.
+func (s *State) Revision(t plan.Topic) (uint64, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.topics[t].revision, s.topics[t].known
+}
+
+// Content returns the revision at which a topic last changed.
+func (s *State) Content(t plan.Topic) uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.topics[t].content
+}
+
+// Members returns the declared hosts.
+func (s *State) Members() []plan.Member {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []plan.Member
+	for _, c := range s.topics[plan.TopicMembers].items {
+		if m, ok := c.Item.(plan.Member); ok {
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
+// Away says that the source does not answer.
+func (s *State) Away(time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.away = true
+}
+
+// Back says that the source answers, and tells whether it was away before.
+func (s *State) Back(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.away {
+		return false
+	}
+	s.away, s.back = false, now
+	return true
+}
+
+// BackAge returns how long ago the source returned from being away.
+func (s *State) BackAge(now time.Time) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return now.Sub(s.back)
+}
+
+// BackSince says that a peer saw the source return that long ago.
+func (s *State) BackSince(now time.Time, age time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if t := now.Add(-age); t.After(s.back) {
+		s.back = t
+	}
+}
+
+// Replace takes a whole listing of a topic. One that is older than what is known is ignored.
+func (s *State) Replace(now time.Time, t plan.Topic, l plan.Listing) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	top := s.topics[t]
+	if top.known && l.Revision < top.revision {
+		return
+	}
+	seen := make(map[string]bool, len(l.Changes))
+	dirty := !top.known
+	for _, c := range l.Changes {
+		seen[c.Name] = true
+		dirty = s.apply(now, t, top, c) || dirty
+	}
+	for name := range top.items {
+		if !seen[name] {
+			dirty = s.apply(now, t, top, plan.Change{Name: name, Revision: l.Revision, Item: plan.Gone{}}) || dirty
+		}
+	}
+	if dirty {
+		top.content = l.Revision
+	}
+	top.known, top.revision = true, l.Revision
+	s.publish(dirty)
+}
+
+// Change takes what changed in a topic.
+func (s *State) Change(now time.Time, t plan.Topic, l plan.Listing) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	top := s.topics[t]
+	dirty := false
+	for _, c := range l.Changes {
+		dirty = s.apply(now, t, top, c) || dirty
+	}
+	top.revision = max(top.revision, l.Revision)
+	if dirty {
+		top.content = top.revision
+	}
+	s.publish(dirty)
+}
+
+// Tick lets go of entries that did not come back in time.
+func (s *State) Tick(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	dirty := false
+	for id, h := range s.held {
+		if now.After(h.until) && !s.away {
+			s.log.Info("backend server lapsed", "backend", id, "event", "gone")
+			delete(s.held, id)
+			dirty = true
+		}
+	}
+	s.publish(dirty)
+}
+
+// apply takes one change and tells whether the view may differ.
+func (s *State) apply(now time.Time, t plan.Topic, top *topic, c plan.Change) bool {
+	old, had := top.items[c.Name]
+	if had && c.Revision < old.Revision {
+		return false
+	}
+	switch item := c.Item.(type) {
+	case plan.Gone:
+		delete(top.items, c.Name)
+		s.lapse(now, c.Name, old)
+		if had {
+			s.log.Info("declaration removed", "event", "removed", "topic", string(t), "name", c.Name, "revision", c.Revision)
+		}
+		return had
+	case *plan.Config:
+		if s.config != nil && item.Version() <= s.config.Version() {
+			return false
+		}
+		s.config = item
+		s.log.Info("configuration in force", "event", "config", "version", item.Version(), "revision", c.Revision)
+	case plan.Unreadable:
+		s.log.Warn("declaration unreadable", "event", "unreadable", "topic", string(t), "name", c.Name, "error", item.Err)
+		if t == plan.TopicConfig {
+			return false
+		}
+	case plan.BackendSpec:
+		delete(s.held, c.Name)
+		if had && !restarted(old, item) {
+			c.Item = keepCold(old, item)
+		}
+	case plan.Drained, plan.Member:
+	}
+	if had && c.Revision == old.Revision {
+		return false
+	}
+	top.items[c.Name] = c
+	if t != plan.TopicConfig {
+		s.log.Info("declaration", "event", "declared", "topic", string(t), "name", c.Name, "revision", c.Revision)
+	}
+	return true
+}
+
+// restarted tells whether the old entry is of another incarnation.
+func restarted(old plan.Change, item plan.BackendSpec) bool {
+	spec, ok := old.Item.(plan.BackendSpec)
+	return !ok || spec.Born != item.Born
+}
+
+// keepCold keeps the earlier end of a cold time: the entry tells what was left when it was written, not
+// when it is read again.
+func keepCold(old plan.Change, item plan.BackendSpec) plan.BackendSpec {
+	spec, ok := old.Item.(plan.BackendSpec)
+	if ok && old.Revision > 0 && !spec.ColdUntil.IsZero() && spec.ColdUntil.Before(item.ColdUntil) && spec.Leaving == item.Leaving {
+		item.ColdUntil = spec.ColdUntil
+	}
+	return item
+}
+
+// lapse holds on to a backend server whose entry went while the source was away.
+func (s *State) lapse(now time.Time, name string, old plan.Change) {
+	spec, ok := old.Item.(plan.BackendSpec)
+	if !ok || spec.Leaving || (!s.away && now.Sub(s.back) > holdAfterReturn) {
+		return
+	}
+	until := s.back.Add(holdAfterReturn)
+	if s.away {
+		until = now.Add(holdAfterReturn)
+	}
+	s.held[name] = hold{spec: spec, until: until}
+}
+
+// publish makes a new view of what is known.
+func (s *State) publish(dirty bool) {
+	if !dirty {
+		return
+	}
+	var specs []plan.BackendSpec
+	for _, c := range s.topics[plan.TopicBackends].items {
+		if spec, ok := c.Item.(plan.BackendSpec); ok {
+			specs = append(specs, spec)
+		}
+	}
+	for _, h := range s.held {
+		specs = append(specs, h.spec)
+	}
+	drained := map[string]bool{}
+	for name := range s.topics[plan.TopicDrains].items {
+		drained[name] = true
+	}
+	s.view.Store(plan.NewView(s.config, specs, drained, s.regions))
+	select {
+	case s.changed <- struct{}{}:
+	default:
+	}
+}
+
+// Snapshots returns the topics that are known at a higher revision than a peer has.
+func (s *State) Snapshots(have map[plan.Topic]uint64) []Snapshot {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []Snapshot
+	for _, t := range plan.Topics() {
+		top := s.topics[t]
+		if !top.known || top.content <= have[t] {
+			continue
+		}
+		changes := slices.SortedFunc(maps.Values(top.items), func(a, b plan.Change) int { return strings.Compare(a.Name, b.Name) })
+		out = append(out, Snapshot{Topic: t, Revision: top.content, Changes: changes})
+	}
+	return out
+}
--- /dev/null
+++ b/edged/pkg/gate/gate.go
@@ -0,0 +1,377 @@
+// Package gate takes callers' requests, sends each to a backend server, and answers with what is known.
+package gate
+
+import (
+	"context"
+	"errors"
+	"io"
+	"log/slog"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"rosemarygrade.dev/edged/pkg/conns"
+	"rosemarygrade.dev/edged/pkg/pick"
+	"rosemarygrade.dev/lib/pkg/fault"
+	"rosemarygrade.dev/lib/pkg/heads"
+	"rosemarygrade.dev/lib/pkg/plan"
+)
+
+// Times and limits.
+const (
+	// minPatience is the shortest time in which a send is still worth it.
+	minPatience = 5 * time.Millisecond
+	// writeStall is how long a caller may take no byte of its answer.
+	writeStall = 10 * time.Second
+)
+
+// Env is what the gate asks of the rest of the process.
+type Env interface {
+	// View returns what is declared now.
+	View() *plan.View
+	// Keeper tells whether this host sends to a cold backend server.
+	Keeper(b *plan.Backend) bool
+	// Hosts returns how many hosts share budgets.
+	Hosts() int
+	// Region returns the host's region.
+	Region() string
+}
+
+// Gate serves callers.
+type Gate struct {
+	env      Env
+	speech   heads.Speech
+	pool     *conns.Pool
+	table    *pick.Table
+	splits   *pick.Splits
+	repeats  *pick.Repeats
+	log      *slog.Logger
+	inFlight atomic.Int64
+	stopping atomic.Bool
+}
+
+// New returns a gate.
+func New(env Env, speech heads.Speech, pool *conns.Pool, table *pick.Table, repeats *pick.Repeats, log *slog.Logger) *Gate {
+	return &Gate{env: env, speech: speech, pool: pool, table: table, splits: pick.NewSplits(), repeats: repeats, log: log}
+}
+
+// InFlight returns how many requests are under way.
+func (g *Gate) InFlight() int64 { return g.inFlight.Load() }
+
+// Stop asks callers to close their connections from now on.
+func (g *Gate) Stop() { g.stopping.Store(true) }
+
+// exchange is one request on its way.
+type exchange struct {
+	req      conns.Request
+	route    *plan.Route
+	service  string
+	object   uint64
+	sticky   bool
+	start    time.Time
+	deadline time.Time
+	tried    []string
+	// ran tells that a backend server may have run the request.
+	ran bool
+}
+
+// ServeHTTP implements http.Handler.
+func (g *Gate) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	g.inFlight.Add(1)
+	defer g.inFlight.Add(-1)
+	now := time.Now()
+	if g.stopping.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	v := g.env.View()
+	if v.Config() == nil {
+		g.answer(w, r, nil, refused(http.StatusServiceUnavailable, retryNoConfig, "no configuration is known yet"))
+		return
+	}
+	x, own := g.read(now, w, r, v)
+	if own == nil {
+		ctx, cancel := context.WithDeadline(r.Context(), x.deadline)
+		defer cancel()
+		a, o := g.run(ctx, x)
+		if a != nil {
+			g.pass(w, r, x, a)
+			return
+		}
+		own = o
+	}
+	if r.Context().Err() != nil {
+		g.log.Debug("caller left", "event", "left", "id", idOf(x), "sends", sends(x))
+		panic(http.ErrAbortHandler)
+	}
+	g.answer(w, r, x, own)
+}
+
+// retryNoConfig is when a host that has just started may know its configuration.
+const retryNoConfig = 300 * time.Millisecond
+
+// read checks a request and reads its body.
+func (g *Gate) read(now time.Time, w http.ResponseWriter, r *http.Request, v *plan.View) (*exchange, *ownAnswer) {
+	target := r.URL.RequestURI()
+	path, _, _ := strings.Cut(target, "?")
+	route := v.Config().Route(hostOf(r.Host), path)
+	if route == nil {
+		return nil, refused(http.StatusNotFound, 0, "no route")
+	}
+	head := g.speech.ReadCaller(r.Header)
+	limit := route.Timeout()
+	if head.Patience > 0 {
+		limit = min(limit, head.Patience)
+	}
+	x := &exchange{route: route, start: now, deadline: now.Add(limit)}
+	x.sticky = route.Sticky() && head.Object != ""
+	x.object = xxhash.Sum64String(head.Object)
+	body, err := readBody(w, r, v.Config().Limits().BodyBytes)
+	if err != nil {
+		var tooLong *http.MaxBytesError
+		if errors.As(err, &tooLong) {
+			return nil, refused(http.StatusRequestEntityTooLarge, 0, "body too long")
+		}
+		return nil, refused(http.StatusBadRequest, 0, "body unreadable")
+	}
+	x.req = conns.Request{ID: head.AttemptID, Method: r.Method, URI: target, Host: r.Host, Header: g.forwarded(r.Header), Body: body}
+	x.service = g.splits.Next(route)
+	g.repeats.Asked(now, x.service)
+	return x, nil
+}
+
+func hostOf(host string) string {
+	if i := strings.LastIndexByte(host, ':'); i >= 0 && !strings.HasSuffix(host, "]") {
+		return host[:i]
+	}
+	return host
+}
+
+func readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, error) {
+	if r.ContentLength == 0 {
+		return nil, nil
+	}
+	body := http.MaxBytesReader(w, r.Body, limit)
+	if r.ContentLength > 0 && r.ContentLength <= limit {
+		buf := make([]byte, r.ContentLength)
+		_, err := io.ReadFull(body, buf)
+		return buf, err
+	}
+	return io.ReadAll(body)
+}
+
+// hopHeaders concern only one connection.
+var hopHeaders = map[string]bool{
+	"Connection": true, "Keep-Alive": true, "Proxy-Connection": true, "Te": true, "Trailer": true, "Expect": true,
+	"Transfer-Encoding": true, "Upgrade": true, "Proxy-Authenticate": true, "Proxy-Authorization": true, "Content-Length": true,
+}
+
+func (g *Gate) forwarded(h http.Header) http.Header {
+	out := make(http.Header, len(h)+2)
+	for name, values := range h {
+		if !hopHeaders[name] && g.speech.ToServer(name) {
+			out[name] = values
+		}
+	}
+	for _, v := range h["Connection"] {
+		for name := range strings.SplitSeq(v, ",") {
+			delete(out, http.CanonicalHeaderKey(strings.TrimSpace(name)))
+		}
+	}
+	return out
+}
+
+// run sends the request until an answer is final. It returns a backend server's answer or one of its own.
+func (g *Gate) run(ctx context.Context, x *exchange) (*conns.Answer, *ownAnswer) {
+	for {
+		now := time.Now()
+		left := x.deadline.Sub(now)
+		if ctx.Err() != nil || left < minPatience {
+			return nil, g.late(x)
+		}
+		switch c := g.choose(now, x, left).(type) {
+		case pick.Chosen:
+			a, own, again := g.send(ctx, now, x, c.Backend)
+			if !again {
+				return a, own
+			}
+		case pick.Full:
+			return nil, g.turnedAway(x, c.After, "no room")
+		default:
+			return nil, g.turnedAway(x, retryNoBackend, "no backend server")
+		}
+	}
+}
+
+// retryNoBackend is when backend servers of a service that has none may be back.
+const retryNoBackend = 500 * time.Millisecond
+
+func (g *Gate) choose(now time.Time, x *exchange, left time.Duration) pick.Result {
+	return g.table.Choose(now, g.env.View(), pick.Query{
+		Service: x.service, Region: g.env.Region(), Allows: x.route.Allows, Object: x.object, Sticky: x.sticky,
+		Left: left, Tried: x.tried, Keeper: g.env.Keeper,
+	})
+}
+
+// send sends the request once. again tells that another send is allowed and wanted.
+func (g *Gate) send(ctx context.Context, now time.Time, x *exchange, b *plan.Backend) (a *conns.Answer, own *ownAnswer, again bool) {
+	x.tried = append(x.tried, b.Key())
+	g.speech.SetServer(x.req.Header, x.deadline.Sub(now), b.ID())
+	a, err := g.pool.Send(ctx, b.Key(), b.Address(), &x.req)
+	took := time.Since(now)
+	if err != nil {
+		return g.failed(ctx, x, b, took, err)
+	}
+	head := g.speech.ReadServer(a.Head().Status, a.Head().Header)
+	switch {
+	case head.NotRun:
+		g.done(x, b, took, pick.Shed)
+		if g.mayRepeat(x) {
+			return nil, nil, true
+		}
+		return nil, g.turnedAway(x, retryShed, "backend server full"), false
+	case a.Head().Status < http.StatusMultipleChoices && (!head.Signed || head.AttemptID != x.req.ID):
+		a.Close(false)
+		x.ran = true
+		g.done(x, b, took, pick.Failed)
+		g.log.Warn("answer not trusted", "event", "broken", "id", x.req.ID, "backend", b.ID(), "status", a.Head().Status)
+		return g.again(x, "answer of another request")
+	case a.Head().Status >= http.StatusInternalServerError && x.route.Idempotent():
+		x.ran = true
+		if a.Rest() == nil && g.mayRepeat(x) {
+			g.done(x, b, took, pick.Failed)
+			return nil, nil, true
+		}
+	}
+	g.done(x, b, took, pick.Answered)
+	return a, nil, false
+}
+
+// retryShed is when a backend server that turned a request away may have room.
+const retryShed = 250 * time.Millisecond
+
+func (g *Gate) done(x *exchange, b *plan.Backend, took time.Duration, o pick.Outcome) {
+	g.table.Done(time.Now(), b, took, o)
+	g.log.Debug("sent", "event", "sent", "id", x.req.ID, "backend", b.ID(), "took", took, "outcome", int(o))
+}
+
+// failed judges a send that brought no whole answer.
+func (g *Gate) failed(ctx context.Context, x *exchange, b *plan.Backend, took time.Duration, err error) (*conns.Answer, *ownAnswer, bool) {
+	unsent := fault.KindOf[conns.Kind](err) == conns.KindUnsent
+	if !unsent {
+		x.ran = true
+	}
+	if ctx.Err() != nil {
+		g.done(x, b, took, pick.Left)
+		return nil, g.late(x), false
+	}
+	g.done(x, b, took, pick.Failed)
+	g.log.Info("send failed", "event", "failed", "id", x.req.ID, "backend", b.ID(), "unsent", unsent, "error", err)
+	if unsent && len(x.tried) < x.route.MaxAttempts() {
+		return nil, nil, true
+	}
+	return g.again(x, err.Error())
+}
+
+func (g *Gate) again(x *exchange, reason string) (*conns.Answer, *ownAnswer, bool) {
+	if (x.route.Idempotent() || !x.ran) && g.mayRepeat(x) {
+		return nil, nil, true
+	}
+	if !x.ran {
+		return nil, g.turnedAway(x, retryShed, reason), false
+	}
+	return nil, refused(http.StatusBadGateway, 0, reason), false
+}
+
+func (g *Gate) mayRepeat(x *exchange) bool {
+	return len(x.tried) < x.route.MaxAttempts() && g.repeats.Take(time.Now(), x.service, g.env.Hosts())
+}
+
+// late answers a request whose time is over.
+func (g *Gate) late(x *exchange) *ownAnswer {
+	if x.ran {
+		return refused(http.StatusGatewayTimeout, 0, "timeout")
+	}
+	return refused(http.StatusServiceUnavailable, retryShed, "no send in time")
+}
+
+// turnedAway answers a request that no backend server takes now.
+func (g *Gate) turnedAway(x *exchange, after time.Duration, reason string) *ownAnswer {
+	if x.ran {
+		return refused(http.StatusBadGateway, 0, reason)
+	}
+	return refused(http.StatusServiceUnavailable, after, reason)
+}
+
+// ownAnswer is an answer that is not a backend server's.
+type ownAnswer struct {
+	status int
+	after  time.Duration
+	reason string
+}
+
+func refused(status int, after time.Duration, reason string) *ownAnswer {
+	return &ownAnswer{status: status, after: after, reason: reason}
+}
+
+func idOf(x *exchange) string {
+	if x == nil {
+		return ""
+	}
+	return x.req.ID
+}
+
+func sends(x *exchange) int {
+	if x == nil {
+		return 0
+	}
+	return len(x.tried)
+}
+
+func (g *Gate) answer(w http.ResponseWriter, r *http.Request, x *exchange, o *ownAnswer) {
+	g.log.Info("answered", "event", "answered", "id", idOf(x), "status", o.status, "reason", o.reason, "sends", sends(x))
+	h := w.Header()
+	if o.after > 0 {
+		h.Set("Retry-After", strconv.FormatFloat(o.after.Seconds(), 'f', 3, 64))
+	}
+	if x == nil && r.ContentLength != 0 {
+		h.Set("Connection", "close")
+	}
+	h.Set("Content-Length", "0")
+	w.WriteHeader(o.status)
+}
+
+// pass passes a backend server's answer on. A long one that breaks breaks the caller's connection too.
+func (g *Gate) pass(w http.ResponseWriter, _ *http.Request, x *exchange, a *conns.Answer) {
+	head := a.Head()
+	h := w.Header()
+	for name, values := range head.Header {
+		if !hopHeaders[name] && g.speech.ToCaller(name) {
+			h[name] = values
+		}
+	}
+	if head.Size >= 0 {
+		h.Set("Content-Length", strconv.FormatInt(head.Size, 10))
+	}
+	control := http.NewResponseController(w)
+	if err := control.SetWriteDeadline(time.Now().Add(writeStall)); err != nil {
+		g.log.Debug("no write deadline", "event", "deadline", "error", err)
+	}
+	w.WriteHeader(head.Status)
+	if _, err := w.Write(a.Body()); err != nil {
+		a.Close(false)
+		panic(http.ErrAbortHandler)
+	}
+	if a.Rest() == nil {
+		return
+	}
+	if _, err := io.Copy(w, a.Rest()); err != nil {
+		a.Close(false)
+		g.log.Info("answer broken off", "event", "broken", "id", x.req.ID, "error", err)
+		panic(http.ErrAbortHandler)
+	}
+	a.Close(true)
+}
--- /dev/null
+++ b/edged/pkg/mesh/pull.go
@@ -0,0 +1,158 @@
+package mesh
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"rosemarygrade.dev/edged/pkg/follow"
+	"rosemarygrade.dev/lib/pkg/fault"
+	"rosemarygrade.dev/lib/pkg/plan"
+)
+
+// Limits of pulls.
+const (
+	pullWait  = 800 * time.Millisecond
+	maxPulled = 64 << 20
+	// PathState is where hosts answer with what they know.
+	PathState = "/state"
+)
+
+// entry is a declaration between hosts.
+type entry struct {
+	Name       string            `json:"name"`
+	Revision   uint64            `json:"revision"`
+	Config     *plan.ConfigSpec  `json:"config,omitempty"`
+	Backend    *plan.BackendSpec `json:"backend,omitempty"`
+	ColdMillis int64             `json:"coldMillis,omitempty"`
+	Member     *plan.Member      `json:"member,omitempty"`
+	Drained    bool              `json:"drained,omitempty"`
+	Unreadable bool              `json:"unreadable,omitempty"`
+}
+
+type snapshot struct {
+	Topic    plan.Topic `json:"topic"`
+	Revision uint64     `json:"revision"`
+	Entries  []entry    `json:"entries"`
+}
+
+// Handler answers pulls of other hosts.
+func (m *Mesh) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+PathState, func(w http.ResponseWriter, r *http.Request) {
+		have := map[plan.Topic]uint64{}
+		for _, t := range plan.Topics() {
+			if n, err := strconv.ParseUint(r.URL.Query().Get(string(t)), 10, 64); err == nil {
+				have[t] = n
+			}
+		}
+		now := time.Now()
+		var out []snapshot
+		for _, s := range m.state.Snapshots(have) {
+			out = append(out, pack(now, s))
+		}
+		w.Header().Set("Content-Type", "application/json")
+		if err := json.NewEncoder(w).Encode(out); err != nil {
+			m.log.Debug("state not sent", "event", "mesh", "error", err)
+		}
+	})
+	return mux
+}
+
+func pack(now time.Time, s follow.Snapshot) snapshot {
+	out := snapshot{Topic: s.Topic, Revision: s.Revision}
+	for _, c := range s.Changes {
+		e := entry{Name: c.Name, Revision: c.Revision}
+		switch item := c.Item.(type) {
+		case *plan.Config:
+			spec := item.Spec()
+			e.Config = &spec
+		case plan.BackendSpec:
+			e.Backend = &item
+			if left := item.ColdUntil.Sub(now); left > 0 {
+				e.ColdMillis = left.Milliseconds()
+			}
+		case plan.Member:
+			e.Member = &item
+		case plan.Drained:
+			e.Drained = true
+		case plan.Unreadable, plan.Gone:
+			e.Unreadable = true
+		}
+		out.Entries = append(out.Entries, e)
+	}
+	return out
+}
+
+func unpack(now time.Time, s snapshot) (plan.Listing, error) {
+	out := plan.Listing{Revision: s.Revision}
+	for _, e := range s.Entries {
+		c := plan.Change{Name: e.Name, Revision: e.Revision}
+		switch {
+		case e.Config != nil:
+			config, err := plan.NewConfig(*e.Config)
+			if err != nil {
+				return out, fault.Wrap("pull", KindFormat, err)
+			}
+			c.Item = config
+		case e.Backend != nil:
+			spec := *e.Backend
+			spec.ColdUntil = time.Time{}
+			if e.ColdMillis > 0 {
+				spec.ColdUntil = now.Add(time.Duration(e.ColdMillis) * time.Millisecond)
+			}
+			c.Item = spec
+		case e.Member != nil:
+			c.Item = *e.Member
+		case e.Drained:
+			c.Item = plan.Drained{}
+		default:
+			c.Item = plan.Unreadable{Err: fault.New("pull", KindFormat, "unreadable at the peer")}
+		}
+		out.Changes = append(out.Changes, c)
+	}
+	return out, nil
+}
+
+// pull takes from a peer what it knows better.
+func (m *Mesh) pull(ctx context.Context, address string) {
+	if err := m.pullFrom(ctx, address); err != nil {
+		m.log.Warn("pull failed", "event", "pull", "peer", address, "error", err)
+	}
+}
+
+func (m *Mesh) pullFrom(ctx context.Context, address string) error {
+	q := url.Values{}
+	for _, t := range plan.Topics() {
+		rev, _ := m.state.Revision(t)
+		q.Set(string(t), strconv.FormatUint(rev, 10))
+	}
+	ctx, cancel := context.WithTimeout(ctx, pullWait)
+	defer cancel()
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+PathState+"?"+q.Encode(), nil)
+	if err != nil {
+		return fault.Wrap("pull", KindPeer, err)
+	}
+	resp, err := m.client.Do(r)
+	if err != nil {
+		return fault.Wrap("pull", KindPeer, err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	var got []snapshot
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxPulled)).Decode(&got); err != nil {
+		return fault.Wrap("pull", KindFormat, err)
+	}
+	now := time.Now()
+	for _, s := range got {
+		l, err := unpack(now, s)
+		if err != nil {
+			return err
+		}
+		m.state.Replace(now, s.Topic, l)
+	}
+	return nil
+}
--- a/lib/pkg/config/config.go
+++ b/lib/pkg/config/config.go
@@ -105,3 +105,10 @@
 
 // Millis turns a number of milliseconds into a duration.
 func Millis(n int) time.Duration { return time.Duration(n) * time.Millisecond }
+
+// Positive checks that a number is above 0.
+func (c *Checker) Positive(field string, value float64) {
+	if value <= 0 {
+		c.fail(field, fmt.Sprintf("%g must be above 0", value))
+	}
+}
--- /dev/null
+++ b/lib/pkg/heads/heads.go
@@ -0,0 +1,54 @@
+// Package heads holds what the headers of requests and answers say, whatever their names are.
+package heads
+
+import (
+	"net/http"
+	"time"
+)
+
+// Caller is what a caller's headers say.
+type Caller struct {
+	// AttemptID is the id of this attempt.
+	AttemptID string
+	// Object is the object that the request concerns; empty means none.
+	Object string
+	// Patience is how long the caller waits; 0 means that it does not say.
+	Patience time.Duration
+}
+
+// Load is what a backend server reports of its work.
+type Load struct {
+	Running, Waiting, Slots int
+	// Slowness is how long work takes there now; 1 is as usual.
+	Slowness float64
+	// Known tells whether the backend server reported at all.
+	Known bool
+}
+
+// Server is what a backend server's headers say.
+type Server struct {
+	// AttemptID is the request that the answer belongs to.
+	AttemptID string
+	// Signed tells that the answer is a backend server's.
+	Signed bool
+	// NotRun tells that the backend server did not run the request.
+	NotRun bool
+	// ColdLeft is how long the backend server stays cold.
+	ColdLeft time.Duration
+	Load     Load
+}
+
+// Speech translates headers.
+type Speech interface {
+	// ReadCaller reads a caller's headers.
+	ReadCaller(h http.Header) Caller
+	// ReadServer reads the headers of a backend server's answer.
+	ReadServer(status int, h http.Header) Server
+	// SetServer sets what a backend server must know of a request: how long the caller still waits, and
+	// which backend server is meant.
+	SetServer(h http.Header, left time.Duration, backendID string)
+	// ToServer tells whether a caller's header is passed on to backend servers.
+	ToServer(name string) bool
+	// ToCaller tells whether a backend server's header is passed on to callers.
+	ToCaller(name string) bool
+}
--- /dev/null
+++ b/lib/pkg/plan/change.go
@@ -0,0 +1,72 @@
+package plan
+
+import (
+	"context"
+	"time"
+)
+
+// Topic is a kind of declarations that is followed.
+type Topic string
+
+// Topics.
+const (
+	TopicConfig   Topic = "config"
+	TopicBackends Topic = "backends"
+	TopicDrains   Topic = "drains"
+	TopicMembers  Topic = "members"
+)
+
+// Topics returns all topics.
+func Topics() []Topic { return []Topic{TopicConfig, TopicBackends, TopicDrains, TopicMembers} }
+
+// Item is what is declared under a name.
+type Item interface{ item() }
+
+// Drained declares that a data centre gets no work.
+type Drained struct{}
+
+// Member declares a host of the system.
+type Member struct {
+	Name string `json:"name"`
+	IP   string `json:"ip"`
+}
+
+// Gone says that a declaration was removed.
+type Gone struct{}
+
+// Unreadable says that a declaration could not be read.
+type Unreadable struct{ Err error }
+
+func (*Config) item()     {}
+func (BackendSpec) item() {}
+func (Drained) item()     {}
+func (Member) item()      {}
+func (Gone) item()        {}
+func (Unreadable) item()  {}
+
+// Change is a declaration as of a revision.
+type Change struct {
+	Name     string
+	Revision uint64
+	Item     Item
+}
+
+// Listing is all declarations of a topic, or those that changed, as of a revision.
+type Listing struct {
+	Revision uint64
+	Changes  []Change
+}
+
+// Source is where declarations are kept.
+type Source interface {
+	// List returns all declarations of a topic. The present time dates what is declared as time left.
+	List(ctx context.Context, now time.Time, topic Topic) (Listing, error)
+	// Watch returns what changed after a revision, or nothing once wait has passed.
+	Watch(ctx context.Context, topic Topic, since uint64, wait time.Duration) (Listing, error)
+	// Ping tells whether the source answers.
+	Ping(ctx context.Context) error
+	// Join declares a host of the system.
+	Join(ctx context.Context, m Member) error
+	// Drop gives up open connections, which may have gone silent.
+	Drop()
+}
