Keep objects at two homes and let requests wait there

Ruled out: lack of slots (warm work needs a third of them), processor time (0.8% of a core). Change: an object goes to two homes only while the service is busy; a request waits here for a slot or for the first run of its object, and is turned away at once when it would come too late.

--- a/edged/cmds/process.go
+++ b/edged/cmds/process.go
@@ -63,7 +63,7 @@
 // View implements gate.Env.
 func (p *process) View() *plan.View { return p.state.View() }
 
-// Keeper implements gate.Env.
+// Keeper implements pick.Fleet.
 func (p *process) Keeper(b *plan.Backend) bool { return p.mesh.Keeper(time.Now(), b) }
 
 // Hosts implements gate.Env.
@@ -75,8 +75,9 @@
 func newProcess(s *Settings, f *logs.Factory) (*process, error) {
 	p := &process{
 		settings: s, log: f.Layer("main"), state: follow.NewState(s.Regions, f.Layer("follow")),
-		table: pick.New(), pool: conns.NewPool(conns.Dialer(), adapt.EchoedID),
+		pool: conns.NewPool(conns.Dialer(), adapt.EchoedID),
 	}
+	p.table = pick.New(p)
 	self := mesh.Self{
 		Name: s.Host, DataCentre: s.DataCentre, Region: s.Region, IP: s.IP, Port: s.PeerPorts[0], Regions: s.Regions,
 	}
@@ -170,6 +171,7 @@
 		now := time.Now()
 		p.mesh.SetServing(p.isReady())
 		p.mesh.Tick(now, urgent)
+		p.table.DrainAll(now, p.state.View())
 	}
 }
 
--- a/edged/pkg/gate/gate.go
+++ b/edged/pkg/gate/gate.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"log/slog"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"strings"
@@ -33,8 +34,6 @@
 type Env interface {
 	// View returns what is declared now.
 	View() *plan.View
-	// Keeper tells whether this host sends to a cold backend server.
-	Keeper(b *plan.Backend) bool
 	// Hosts returns how many hosts share budgets.
 	Hosts() int
 	// Region returns the host's region.
@@ -70,9 +69,7 @@
 	req      conns.Request
 	route    *plan.Route
 	service  string
-	object   uint64
-	sticky   bool
-	start    time.Time
+	query    pick.Query
 	deadline time.Time
 	tried    []string
 	// ran tells that a backend server may have run the request.
@@ -126,9 +123,7 @@
 	if head.Patience > 0 {
 		limit = min(limit, head.Patience)
 	}
-	x := &exchange{route: route, start: now, deadline: now.Add(limit)}
-	x.sticky = route.Sticky() && head.Object != ""
-	x.object = xxhash.Sum64String(head.Object)
+	x := &exchange{route: route, deadline: now.Add(limit)}
 	body, err := readBody(w, r, v.Config().Limits().BodyBytes)
 	if err != nil {
 		var tooLong *http.MaxBytesError
@@ -139,6 +134,11 @@
 	}
 	x.req = conns.Request{ID: head.AttemptID, Method: r.Method, URI: target, Host: r.Host, Header: g.forwarded(r.Header), Body: body}
 	x.service = g.splits.Next(route)
+	x.query = pick.Query{
+		Service: x.service, Region: g.env.Region(), Allows: route.Allows, Priority: route.Priority(),
+		Object: xxhash.Sum64String(head.Object), Sticky: route.Sticky() && head.Object != "",
+		Objective: now.Add(route.Objective()), Deadline: x.deadline,
+	}
 	g.repeats.Asked(now, x.service)
 	return x, nil
 }
@@ -188,32 +188,49 @@
 func (g *Gate) run(ctx context.Context, x *exchange) (*conns.Answer, *ownAnswer) {
 	for {
 		now := time.Now()
-		left := x.deadline.Sub(now)
-		if ctx.Err() != nil || left < minPatience {
+		if ctx.Err() != nil || x.deadline.Sub(now) < minPatience {
 			return nil, g.late(x)
 		}
-		switch c := g.choose(now, x, left).(type) {
+		switch c := g.choose(ctx, now, x).(type) {
 		case pick.Chosen:
-			a, own, again := g.send(ctx, now, x, c.Backend)
+			a, own, again := g.send(ctx, time.Now(), x, c.Backend)
 			if !again {
 				return a, own
 			}
 		case pick.Full:
-			return nil, g.turnedAway(x, c.After, "no room")
-		default:
+			return nil, g.turnedAway(x, spread(c.After), "no room")
+		case pick.None:
 			return nil, g.turnedAway(x, retryNoBackend, "no backend server")
+		default:
+			return nil, g.late(x)
 		}
 	}
 }
 
+// spread varies a time, so that those who are turned away together do not return together.
+func spread(d time.Duration) time.Duration { return d/2 + rand.N(d) }
+
 // retryNoBackend is when backend servers of a service that has none may be back.
 const retryNoBackend = 500 * time.Millisecond
 
-func (g *Gate) choose(now time.Time, x *exchange, left time.Duration) pick.Result {
-	return g.table.Choose(now, g.env.View(), pick.Query{
-		Service: x.service, Region: g.env.Region(), Allows: x.route.Allows, Object: x.object, Sticky: x.sticky,
-		Left: left, Tried: x.tried, Keeper: g.env.Keeper,
-	})
+// choose returns what becomes of the request, after it has waited where it must. It returns nil when
+// the request's time ended meanwhile.
+func (g *Gate) choose(ctx context.Context, now time.Time, x *exchange) pick.Result {
+	x.query.Tried = x.tried
+	r := g.table.Choose(now, g.env.View(), x.query)
+	q, ok := r.(pick.Queued)
+	if !ok {
+		return r
+	}
+	select {
+	case r := <-q.Ticket.Result():
+		return r
+	case <-ctx.Done():
+		if b := g.table.Cancel(q.Ticket); b != nil {
+			g.done(x, b, 0, pick.Left, heads.Load{})
+		}
+		return nil
+	}
 }
 
 // send sends the request once. again tells that another send is allowed and wanted.
@@ -228,7 +245,7 @@
 	head := g.speech.ReadServer(a.Head().Status, a.Head().Header)
 	switch {
 	case head.NotRun:
-		g.done(x, b, took, pick.Shed)
+		g.done(x, b, took, pick.Shed, head.Load)
 		if g.mayRepeat(x) {
 			return nil, nil, true
 		}
@@ -236,25 +253,27 @@
 	case a.Head().Status < http.StatusMultipleChoices && (!head.Signed || head.AttemptID != x.req.ID):
 		a.Close(false)
 		x.ran = true
-		g.done(x, b, took, pick.Failed)
+		g.done(x, b, took, pick.Failed, heads.Load{})
 		g.log.Warn("answer not trusted", "event", "broken", "id", x.req.ID, "backend", b.ID(), "status", a.Head().Status)
 		return g.again(x, "answer of another request")
 	case a.Head().Status >= http.StatusInternalServerError && x.route.Idempotent():
 		x.ran = true
 		if a.Rest() == nil && g.mayRepeat(x) {
-			g.done(x, b, took, pick.Failed)
+			g.done(x, b, took, pick.Failed, head.Load)
 			return nil, nil, true
 		}
 	}
-	g.done(x, b, took, pick.Answered)
+	g.done(x, b, took, pick.Answered, head.Load)
 	return a, nil, false
 }
 
 // retryShed is when a backend server that turned a request away may have room.
 const retryShed = 250 * time.Millisecond
 
-func (g *Gate) done(x *exchange, b *plan.Backend, took time.Duration, o pick.Outcome) {
-	g.table.Done(time.Now(), b, took, o)
+func (g *Gate) done(x *exchange, b *plan.Backend, took time.Duration, o pick.Outcome, load heads.Load) {
+	now := time.Now()
+	g.table.Done(now, b, &x.query, took, o, load)
+	g.table.Drain(now, g.env.View(), b.Service())
 	g.log.Debug("sent", "event", "sent", "id", x.req.ID, "backend", b.ID(), "took", took, "outcome", int(o))
 }
 
@@ -265,10 +284,10 @@
 		x.ran = true
 	}
 	if ctx.Err() != nil {
-		g.done(x, b, took, pick.Left)
+		g.done(x, b, took, pick.Left, heads.Load{})
 		return nil, g.late(x), false
 	}
-	g.done(x, b, took, pick.Failed)
+	g.done(x, b, took, pick.Failed, heads.Load{})
 	g.log.Info("send failed", "event", "failed", "id", x.req.ID, "backend", b.ID(), "unsent", unsent, "error", err)
 	if unsent && len(x.tried) < x.route.MaxAttempts() {
 		return nil, nil, true
--- a/edged/pkg/pick/pick.go
+++ b/edged/pkg/pick/pick.go
@@ -1,35 +1,16 @@
-// Package pick chooses the backend server of a request: the one that holds the request's object warm, as
-// long as it has a free slot, then the next one in an order on which all hosts agree without messages.
+// Package pick decides where a request goes and when: to the backend server that holds its object warm,
+// at once while a slot is free there, later from a queue while it still pays, and otherwise not at all.
+// All functions take the present time and none waits.
 package pick
 
 import (
-	"cmp"
-	"math"
-	"slices"
 	"sync"
 	"time"
 
 	"rosemarygrade.dev/lib/pkg/plan"
 )
 
-// Rules of the choice.
-const (
-	// farPush is how much of the hash range backend servers of other regions are pushed back.
-	farPush = 0.35
-	// reportLife is how long a peer's report counts; reports come several times a second.
-	reportLife = time.Second
-	// coldShare is which share of a cold backend server's rate its keeper uses.
-	coldShare = 0.8
-	// failuresOut is how many failures in a row take a backend server out for a while.
-	failuresOut = 2
-	outFor      = time.Second
-	// timeWeight is the weight of a new sample in a mean of work times.
-	timeWeight = 0.05
-	// firstMean is the mean work time before there are samples.
-	firstMean = 200 * time.Millisecond
-)
-
-// Query is what a choice depends on.
+// Query is what a decision depends on.
 type Query struct {
 	Service string
 	// Region is where the request is; Allows tells which regions may serve it.
@@ -38,30 +19,45 @@
 	// Object is the hash of the object that the request concerns; Sticky says that there is one.
 	Object uint64
 	Sticky bool
-	// Left is the time until the request must be answered.
-	Left time.Duration
+	// Priority is the rank; 0 is the highest.
+	Priority int
+	// Objective is when an answer has lost its full worth, Deadline when it must be given.
+	Objective time.Time
+	Deadline  time.Time
 	// Tried are backend servers that the request was sent to before.
 	Tried []string
-	// Keeper tells whether this host is the one that sends to a cold backend server.
-	Keeper func(b *plan.Backend) bool
 }
 
-// Result is a choice or the reason why there is none.
+// Result is what becomes of a request.
 type Result interface{ result() }
 
-// Chosen names the backend server. Its slot is counted until Done.
+// Chosen names the backend server to send to now. Its slot is counted until Done.
 type Chosen struct{ Backend *plan.Backend }
 
-// Full says that no backend server has room, and after which time one may.
+// Queued says that the request waits; its ticket receives the result.
+type Queued struct{ Ticket *Ticket }
+
+// Full says that the request can't be served in time, and after which time there may be room.
 type Full struct{ After time.Duration }
 
 // None says that no backend server is known for the service.
 type None struct{}
 
 func (Chosen) result() {}
+func (Queued) result() {}
 func (Full) result()   {}
 func (None) result()   {}
 
+// Ticket is a request that waits.
+type Ticket struct {
+	query  Query
+	since  time.Time
+	result chan Result
+}
+
+// Result receives Chosen or Full, once.
+func (t *Ticket) Result() <-chan Result { return t.result }
+
 // Outcome is how a send ended.
 type Outcome int
 
@@ -71,27 +67,36 @@
 	Answered Outcome = iota
 	// Shed means that it did not run the request.
 	Shed
-	// Failed means that no whole answer came.
+	// Failed means that no whole answer came, or a failure.
 	Failed
 	// Left means that this side broke off.
 	Left
 )
 
-// Table counts work at backend servers. It is safe for concurrent use.
+// Fleet is what the table asks of the host's view of the other hosts.
+type Fleet interface {
+	// Keeper tells whether this host is the one that sends to a cold backend server.
+	Keeper(b *plan.Backend) bool
+}
+
+// Table counts work at backend servers and keeps the queues. It is safe for concurrent use.
 type Table struct {
-	mu      sync.Mutex
-	servers map[string]*server
-	means   map[string]time.Duration
-	peers   map[string]report
+	fleet Fleet
+
+	mu       sync.Mutex
+	servers  map[string]*server
+	services map[string]*service
+	peers    map[string]report
 }
 
-type server struct {
-	backend  *plan.Backend
-	own      int
-	others   int
-	failures int
-	outUntil time.Time
-	coldNext time.Time
+// service is what is known of a service.
+type service struct {
+	warm, cold mean
+	queue      []*Ticket
+	// rate is how many requests a second were sent from here lately.
+	rate     float64
+	rateAt   time.Time
+	overload bool
 }
 
 type report struct {
@@ -100,8 +105,8 @@
 }
 
 // New returns an empty table.
-func New() *Table {
-	return &Table{servers: map[string]*server{}, means: map[string]time.Duration{}, peers: map[string]report{}}
+func New(fleet Fleet) *Table {
+	return &Table{fleet: fleet, servers: map[string]*server{}, services: map[string]*service{}, peers: map[string]report{}}
 }
 
 // Short returns the short name of a backend server in reports.
@@ -110,14 +115,23 @@
 func (t *Table) server(b *plan.Backend) *server {
 	s := t.servers[b.Key()]
 	if s == nil {
-		s = &server{backend: b}
+		s = newServer(b)
 		t.servers[b.Key()] = s
 	}
 	s.backend = b
 	return s
 }
 
-// Report takes a peer's counts of its own requests under way.
+func (t *Table) service(name string) *service {
+	s := t.services[name]
+	if s == nil {
+		s = &service{}
+		t.services[name] = s
+	}
+	return s
+}
+
+// Report takes a peer's counts of its own requests under way, and returns what may go on now.
 func (t *Table) Report(now time.Time, peer string, counts map[uint32]int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -137,137 +151,114 @@
 	return out
 }
 
-// load returns the requests that all hosts have at a backend server, as far as is known.
-func (t *Table) load(now time.Time, s *server) int {
-	n := s.own
-	for _, r := range t.peers {
-		if now.Sub(r.at) < reportLife {
-			n += r.counts[Short(s.backend)]
-		}
+// Waiting returns how many requests wait.
+func (t *Table) Waiting() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	n := 0
+	for _, s := range t.services {
+		n += len(s.queue)
 	}
 	return n
 }
 
-type candidate struct {
-	s    *server
-	cost float64
-}
-
-// Choose chooses a backend server and counts the request there.
+// Choose decides about a request.
 func (t *Table) Choose(now time.Time, v *plan.View, q Query) Result {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	list := t.candidates(now, v, q)
-	if len(list) == 0 {
-		if len(v.Usable(q.Service)) == 0 {
-			return None{}
-		}
-		return Full{After: t.mean(q.Service)}
-	}
-	best, least := -1, math.Inf(1)
-	for i, c := range list {
-		n, slots := t.load(now, c.s), c.s.backend.Slots()
-		if n < slots {
-			best = i
-			break
-		}
-		if over := float64(n-slots+1) / float64(slots); over < least {
-			best, least = i, over
-		}
+	if len(v.Usable(q.Service)) == 0 {
+		return None{}
 	}
-	wait := time.Duration(0)
-	if !math.IsInf(least, 1) && t.load(now, list[best].s) >= list[best].s.backend.Slots() {
-		wait = time.Duration(least * float64(t.mean(q.Service)))
+	svc := t.service(q.Service)
+	o, ok := t.best(now, v, svc, &q)
+	if ok && o.now {
+		t.start(now, v, svc, o.server, &q)
+		return Chosen{Backend: o.server.backend}
 	}
-	if wait > 0 && (least > 1 || wait > q.Left/2) {
-		return Full{After: wait}
-	}
-	s := list[best].s
-	s.own++
-	if s.backend.Cold(now) {
-		s.coldNext = now.Add(coldPause(v, s.backend))
+	if verdict, full := svc.judge(now, &q, o, ok); full {
+		return verdict
 	}
-	return Chosen{Backend: s.backend}
+	ticket := &Ticket{query: q, since: now, result: make(chan Result, 1)}
+	svc.enqueue(ticket)
+	return Queued{Ticket: ticket}
 }
 
-func coldPause(v *plan.View, b *plan.Backend) time.Duration {
-	svc := v.Config().Service(b.Service())
-	if svc == nil || svc.ColdRate <= 0 {
-		return time.Second
+// Cancel takes a request that its caller gave up out of its queue. If it was chosen meanwhile, it returns
+// the choice, which must be ended by Done.
+func (t *Table) Cancel(k *Ticket) *plan.Backend {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.service(k.query.Service).remove(k)
+	select {
+	case r := <-k.result:
+		if c, ok := r.(Chosen); ok {
+			return c.Backend
+		}
+	default:
 	}
-	return time.Duration(float64(time.Second) / (svc.ColdRate * coldShare))
+	return nil
 }
 
-// candidates returns the backend servers that may get the request, best first.
-func (t *Table) candidates(now time.Time, v *plan.View, q Query) []candidate {
-	usable := v.Usable(q.Service)
-	list := make([]candidate, 0, len(usable))
-	for _, b := range usable {
-		if !q.Allows(b.Region()) || slices.Contains(q.Tried, b.Key()) {
-			continue
-		}
-		s := t.server(b)
-		if now.Before(s.outUntil) {
-			continue
-		}
-		if b.Cold(now) && (now.Before(s.coldNext) || !q.Keeper(b)) {
-			continue
-		}
-		cost := 0.0
-		if q.Sticky {
-			cost = unit(q.Object ^ b.Hash())
-		} else {
-			cost = float64(t.load(now, s)) / float64(b.Slots())
-		}
-		if b.Region() != q.Region {
-			cost += farPush
-		}
-		list = append(list, candidate{s: s, cost: cost})
+// start counts a request at a backend server.
+func (t *Table) start(now time.Time, v *plan.View, svc *service, s *server, q *Query) {
+	s.begin(now, q)
+	svc.sent(now)
+	if s.backend.Cold(now) {
+		s.coldNext = now.Add(coldPause(v, s.backend))
 	}
-	slices.SortFunc(list, func(a, b candidate) int { return cmp.Compare(a.cost, b.cost) })
-	return list
 }
 
-// unit spreads a hash over 0 to 1.
-func unit(h uint64) float64 {
-	const (
-		mul1, mul2 = 0xff51afd7ed558ccd, 0xc4ceb9fe1a85ec53
-		shift      = 33
-		kept       = 11
-	)
-	h ^= h >> shift
-	h *= mul1
-	h ^= h >> shift
-	h *= mul2
-	h ^= h >> shift
-	return float64(h>>kept) / (1 << (64 - kept))
+// Done ends a request at a backend server. Load is what the answer told, if any.
+func (t *Table) Done(now time.Time, b *plan.Backend, q *Query, took time.Duration, o Outcome, load Load) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s, svc := t.server(b), t.service(b.Service())
+	warm := s.end(now, q, o, load)
+	if o == Answered {
+		s.learn(svc, took, warm)
+	}
 }
 
-func (t *Table) mean(service string) time.Duration {
-	if m, ok := t.means[service]; ok {
-		return m
-	}
-	return firstMean
+// Drain sends on what waits and can go now, and turns away what can't be served any more.
+func (t *Table) Drain(now time.Time, v *plan.View, name string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.drain(now, v, t.service(name))
 }
 
-// Done ends a request at a backend server.
-func (t *Table) Done(now time.Time, b *plan.Backend, took time.Duration, o Outcome) {
+// DrainAll does so for all services.
+func (t *Table) DrainAll(now time.Time, v *plan.View) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	s := t.server(b)
-	s.own--
-	switch o {
-	case Answered:
-		s.failures = 0
-		m := t.mean(b.Service())
-		t.means[b.Service()] = m + time.Duration(timeWeight*float64(took-m))
-	case Failed:
-		s.failures++
-		if s.failures >= failuresOut {
-			s.outUntil = now.Add(outFor)
+	for _, svc := range t.services {
+		t.drain(now, v, svc)
+	}
+}
+
+func (t *Table) drain(now time.Time, v *plan.View, svc *service) {
+	if len(svc.queue) == 0 {
+		return
+	}
+	stay := svc.queue[:0]
+	for i, k := range svc.queue {
+		if i >= lookAhead {
+			stay = append(stay, k)
+			continue
+		}
+		o, ok := t.best(now, v, svc, &k.query)
+		if ok && o.now {
+			t.start(now, v, svc, o.server, &k.query)
+			k.result <- Chosen{Backend: o.server.backend}
+			continue
 		}
-	case Shed, Left:
+		if left := k.query.Deadline.Sub(now); left < svc.least() || (!ok && len(v.Usable(k.query.Service)) == 0) {
+			k.result <- Full{After: svc.wait(now, len(svc.queue))}
+			continue
+		}
+		stay = append(stay, k)
 	}
+	clear(svc.queue[len(stay):])
+	svc.queue = stay
 }
 
 // Keep forgets backend servers that are gone and have no work.
@@ -275,9 +266,11 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for key, s := range t.servers {
-		if b := v.Backend(s.backend.ID()); s.own == 0 && (b == nil || b.Key() != key) {
+		if s.own == 0 && !v.Knows(key) {
 			delete(t.servers, key)
+			continue
 		}
+		s.trim()
 	}
 	for name, r := range t.peers {
 		if now.Sub(r.at) > reportLife {
--- /dev/null
+++ b/edged/pkg/pick/server.go
@@ -0,0 +1,189 @@
+package pick
+
+import (
+	"time"
+
+	"rosemarygrade.dev/lib/pkg/heads"
+	"rosemarygrade.dev/lib/pkg/plan"
+)
+
+// Load is what a backend server reports of its work.
+type Load = heads.Load
+
+// Rules of what is believed of backend servers.
+const (
+	// reportLife is how long a peer's report counts; reports come several times a second.
+	reportLife = time.Second
+	// seenLife is how long the work counts that a backend server told with an answer.
+	seenLife = 100 * time.Millisecond
+	// slownessLife is how long the slowness counts that it told; it changes several times a second.
+	slownessLife = 500 * time.Millisecond
+	// failuresOut is how many failures in a row take a backend server out for a while.
+	failuresOut = 3
+	outFor      = time.Second
+	// timeWeight is the weight of a new sample in a mean of work times.
+	timeWeight = 0.05
+	// ratioWeight is the weight of a new sample in how much longer than usual a backend server takes.
+	ratioWeight = 0.15
+	// ratioMost bounds one sample: stragglers are the request's doing.
+	ratioMost = 8
+	// firstWarm and firstCold are mean work times before there are samples.
+	firstWarm = 100 * time.Millisecond
+	firstCold = 300 * time.Millisecond
+	// warmMost is how many objects are remembered for a backend server.
+	warmMost = 256
+	// coldShare is which share of a cold backend server's rate its keeper uses.
+	coldShare = 0.8
+)
+
+// mean is a mean of durations in which older ones fade.
+type mean struct {
+	sum float64
+	n   int
+}
+
+func (m *mean) add(d time.Duration) {
+	m.n++
+	weight := max(timeWeight, 1/float64(m.n))
+	m.sum += weight * (float64(d) - m.sum)
+}
+
+func (m *mean) value(first time.Duration) time.Duration {
+	if m.n == 0 {
+		return first
+	}
+	return time.Duration(m.sum)
+}
+
+// server is what this host knows of a backend server.
+type server struct {
+	backend  *plan.Backend
+	own      int
+	failures int
+	outUntil time.Time
+	coldNext time.Time
+	// warm holds when an object was last handled there, running when a first run of one began.
+	warm    map[uint64]time.Time
+	running map[uint64]time.Time
+	// ratio is how much longer than usual it takes, beyond the slowness that it tells.
+	ratio float64
+	// others is the work of other hosts by the last answer's load.
+	others     int
+	seen       time.Time
+	slowness   float64
+	slownessAt time.Time
+}
+
+func newServer(b *plan.Backend) *server {
+	return &server{backend: b, warm: map[uint64]time.Time{}, running: map[uint64]time.Time{}, ratio: 1, slowness: 1}
+}
+
+// begin counts a request.
+func (s *server) begin(now time.Time, q *Query) {
+	s.own++
+	if !q.Sticky {
+		return
+	}
+	if _, warm := s.warm[q.Object]; !warm {
+		if _, running := s.running[q.Object]; !running {
+			s.running[q.Object] = now
+		}
+	}
+}
+
+// end ends a request and tells whether its object was warm when it began.
+func (s *server) end(now time.Time, q *Query, o Outcome, load Load) bool {
+	s.own--
+	_, warm := s.warm[q.Object]
+	if q.Sticky {
+		if begun, ok := s.running[q.Object]; ok && !warm {
+			_ = begun
+			delete(s.running, q.Object)
+		}
+		if o == Answered {
+			s.warm[q.Object] = now
+		}
+	}
+	if load.Known {
+		s.others, s.seen = max(0, load.Running+load.Waiting-s.own), now
+		s.slowness, s.slownessAt = load.Slowness, now
+	}
+	switch o {
+	case Answered:
+		s.failures = 0
+	case Failed:
+		s.failures++
+		if s.failures >= failuresOut {
+			s.outUntil = now.Add(outFor)
+		}
+	case Shed, Left:
+	}
+	return warm
+}
+
+// learn takes how long an answer took.
+func (s *server) learn(svc *service, took time.Duration, warm bool) {
+	usual := svc.usual(warm)
+	slow := s.slowness
+	sample := min(ratioMost, float64(took)/max(1, float64(usual)*slow))
+	s.ratio += ratioWeight * (sample - s.ratio)
+	// A slow backend server must not change what is usual.
+	plain := time.Duration(float64(took) / slow)
+	if warm {
+		svc.warm.add(plain)
+	} else {
+		svc.cold.add(plain)
+	}
+}
+
+func (s *service) usual(warm bool) time.Duration {
+	if warm {
+		return s.warm.value(firstWarm)
+	}
+	return s.cold.value(firstCold)
+}
+
+// slow returns how much longer than usual work takes there now.
+func (s *server) slow(now time.Time) float64 {
+	slow := max(1, s.ratio)
+	if now.Sub(s.slownessAt) < slownessLife {
+		slow *= s.slowness
+	}
+	return slow
+}
+
+// load returns the requests that all hosts have there, as far as is known.
+func (t *Table) load(now time.Time, s *server) int {
+	if now.Sub(s.seen) < seenLife {
+		return s.own + s.others
+	}
+	n := s.own
+	for _, r := range t.peers {
+		if now.Sub(r.at) < reportLife {
+			n += r.counts[Short(s.backend)]
+		}
+	}
+	return n
+}
+
+// trim forgets the objects that were not handled for the longest time.
+func (s *server) trim() {
+	for len(s.warm) > warmMost {
+		var oldest uint64
+		var at time.Time
+		for o, when := range s.warm {
+			if at.IsZero() || when.Before(at) {
+				oldest, at = o, when
+			}
+		}
+		delete(s.warm, oldest)
+	}
+}
+
+func coldPause(v *plan.View, b *plan.Backend) time.Duration {
+	svc := v.Config().Service(b.Service())
+	if svc == nil || svc.ColdRate <= 0 {
+		return time.Second
+	}
+	return time.Duration(float64(time.Second) / (svc.ColdRate * coldShare))
+}
