Let a few hosts follow the store, read settings again at SIGHUP

Change: the first host by rank of each region follows and probes, the others take what it knows; settings are read again at SIGHUP and when the file changes.

--- a/edged/cmds/cmds.go
+++ b/edged/cmds/cmds.go
@@ -29,8 +29,10 @@
 
 func daemon() config.Daemon {
 	s := NewSettings()
+	var path string
 	return config.Daemon{
 		Name: "edged", Short: "Serve callers and look-ups, each host by itself", Long: long, Settings: s,
-		Run: func(ctx context.Context, layers string) error { return run(ctx, s, layers) },
+		Located: func(p string) { path = p },
+		Run:     func(ctx context.Context, layers string) error { return run(ctx, s, path, layers) },
 	}
 }
--- a/edged/cmds/hosts.go
+++ b/edged/cmds/hosts.go
@@ -38,7 +38,7 @@
 			add(h.DataCentre(), h.Region(), hostIP(h))
 		}
 	}
-	lifetime := seconds(p.settings.LookupLifetimeSeconds)
+	lifetime := seconds(p.reloaded.Load().LookupLifetimeSeconds)
 	out := here
 	if len(out) < fewestHosts {
 		out = append(out, near...)
--- a/edged/cmds/process.go
+++ b/edged/cmds/process.go
@@ -49,6 +49,8 @@
 // process holds the parts of an edged.
 type process struct {
 	settings *Settings
+	// reloaded holds the settings that may change while the process runs.
+	reloaded atomic.Pointer[Settings]
 	log      *slog.Logger
 	state    *follow.State
 	table    *pick.Table
@@ -78,20 +80,15 @@
 		pool: conns.NewPool(conns.Dialer(), adapt.EchoedID),
 	}
 	p.table = pick.New(p)
+	p.reloaded.Store(s)
 	self := mesh.Self{
 		Name: s.Host, DataCentre: s.DataCentre, Region: s.Region, IP: s.IP, Port: s.PeerPorts[0], Regions: s.Regions,
 	}
-	for _, seed := range s.Seeds {
-		ip, _, err := net.SplitHostPort(seed)
-		if err != nil {
-			return nil, err
-		}
-		self.Seeds = append(self.Seeds, ip)
-	}
 	var err error
 	if p.mesh, err = mesh.New(time.Now(), self, p.state, p.table, f.Layer("mesh")); err != nil {
 		return nil, err
 	}
+	p.meetSeeds(time.Now(), s)
 	p.source = adapt.NewStore(s.StoreAddress, conns.Control, func(string) { p.calls.Add(1) })
 	repeats := pick.NewRepeats(pick.BudgetRule{
 		Window: seconds(s.RepeatWindowSeconds), Ratio: s.RepeatRatio, Slack: s.RepeatSlack,
@@ -100,7 +97,7 @@
 	return p, nil
 }
 
-func run(ctx context.Context, s *Settings, layers string) error {
+func run(ctx context.Context, s *Settings, path, layers string) error {
 	debug.SetGCPercent(gcPercent)
 	debug.SetMemoryLimit(int64(memoryUse * float64(s.MemoryMegabytes) * megabyte))
 	factory := logs.New(os.Stdout, layers, "process", "edged", "host", s.Host)
@@ -118,7 +115,9 @@
 	g.HTTP(listeners[1], http.HandlerFunc(p.ready))
 	g.HTTP(listeners[2], http.HandlerFunc(p.lookup))
 	g.HTTP(listeners[3], p.mesh.Handler())
-	follower := follow.New(p.source, p.state, func(time.Time) bool { return true }, factory.Layer("follow"))
+	follower := follow.New(p.source, p.state, p.mesh, factory.Layer("follow"))
+	g.Go(follower.Probe)
+	g.Go(func(ctx context.Context) error { return p.reload(ctx, path) })
 	for _, t := range plan.Topics() {
 		g.Go(func(ctx context.Context) error { return follower.Run(ctx, t) })
 	}
@@ -248,7 +247,7 @@
 	case <-ctx.Done():
 	case <-time.After(acceptAfterStop):
 	}
-	end, cancel := context.WithDeadline(ctx, begin.Add(seconds(p.settings.GraceSeconds)-stopMargin))
+	end, cancel := context.WithDeadline(ctx, begin.Add(seconds(p.reloaded.Load().GraceSeconds)-stopMargin))
 	defer cancel()
 	if err := front.Shutdown(end); err != nil {
 		p.log.Warn("requests cut by the end of the grace time", "event", "cut", "inFlight", p.gate.InFlight(), "error", err)
--- /dev/null
+++ b/edged/cmds/reload.go
@@ -0,0 +1,77 @@
+package cmds
+
+import (
+	"context"
+	"net"
+	"os"
+	"os/signal"
+	"reflect"
+	"syscall"
+	"time"
+
+	"rosemarygrade.dev/lib/pkg/config"
+)
+
+// settingsEvery is how often the settings file is looked at: it may change without a signal.
+const settingsEvery = 2 * time.Second
+
+// reload reads the settings again at SIGHUP and when the file has changed. Wrong settings are refused as
+// a whole.
+func (p *process) reload(ctx context.Context, path string) error {
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	defer signal.Stop(hup)
+	t := time.NewTicker(settingsEvery)
+	defer t.Stop()
+	last := p.modified(path)
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-hup:
+		case <-t.C:
+			if p.modified(path).Equal(last) {
+				continue
+			}
+		}
+		last = p.modified(path)
+		fresh := NewSettings()
+		if err := config.Load(path, fresh); err != nil {
+			p.log.Error("settings refused, the old ones stay", "event", "reload", "error", err)
+			continue
+		}
+		p.apply(time.Now(), fresh)
+	}
+}
+
+func (p *process) modified(path string) time.Time {
+	info, err := os.Stat(path)
+	if err != nil {
+		p.log.Warn("settings file not seen", "event", "reload", "error", err)
+		return time.Time{}
+	}
+	return info.ModTime()
+}
+
+// apply puts into force what may change while the process runs: all but its name, place and addresses.
+func (p *process) apply(now time.Time, fresh *Settings) {
+	fixed := *fresh
+	old := p.settings
+	fixed.Seeds, fixed.GraceSeconds, fixed.LookupLifetimeSeconds = old.Seeds, old.GraceSeconds, old.LookupLifetimeSeconds
+	restart := !reflect.DeepEqual(&fixed, old)
+	p.reloaded.Store(fresh)
+	p.meetSeeds(now, fresh)
+	p.log.Info("settings read again", "event", "reload", "restartNeeded", restart, "graceSeconds", fresh.GraceSeconds,
+		"lookupLifetimeSeconds", fresh.LookupLifetimeSeconds, "seeds", len(fresh.Seeds))
+}
+
+func (p *process) meetSeeds(now time.Time, s *Settings) {
+	for _, seed := range s.Seeds {
+		ip, _, err := net.SplitHostPort(seed)
+		if err != nil {
+			p.log.Warn("seed unreadable", "event", "reload", "seed", seed, "error", err)
+			continue
+		}
+		p.mesh.Meet(now, ip)
+	}
+}
--- a/edged/pkg/follow/follow.go
+++ b/edged/pkg/follow/follow.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"rosemarygrade.dev/lib/pkg/plan"
@@ -18,6 +19,9 @@
 	// firstPause and lastPause bound the pause between failed calls.
 	firstPause = 100 * time.Millisecond
 	lastPause  = time.Second
+	// probeEvery and probeWait let another host take over well within the 2.5 s of a leaving backend server.
+	probeEvery = 500 * time.Millisecond
+	probeWait  = 600 * time.Millisecond
 	// idlePause is how often a host that does not follow asks whether it should.
 	idlePause = 50 * time.Millisecond
 )
@@ -27,13 +31,23 @@
 	source plan.Source
 	state  *State
 	log    *slog.Logger
-	// duty tells whether this host is to follow now.
-	duty func(now time.Time) bool
+	watch  Watchers
+
+	mu      sync.Mutex
+	watches map[plan.Topic]context.CancelFunc
+}
+
+// Watchers divides the following of the source among the hosts.
+type Watchers interface {
+	// Watcher tells whether this host is to follow now.
+	Watcher(now time.Time) bool
+	// SetStore says whether this host reaches the source.
+	SetStore(ok bool)
 }
 
 // New returns a follower.
-func New(source plan.Source, state *State, duty func(now time.Time) bool, log *slog.Logger) *Follower {
-	return &Follower{source: source, state: state, duty: duty, log: log}
+func New(source plan.Source, state *State, watch Watchers, log *slog.Logger) *Follower {
+	return &Follower{source: source, state: state, watch: watch, log: log, watches: map[plan.Topic]context.CancelFunc{}}
 }
 
 // Run follows one topic until the context ends.
@@ -41,7 +55,7 @@
 	pause := firstPause
 	listed := false
 	for ctx.Err() == nil {
-		if !f.duty(time.Now()) {
+		if !f.wanted(t) {
 			listed = false
 			sleep(ctx, idlePause)
 			continue
@@ -69,6 +83,45 @@
 	return nil
 }
 
+// wanted tells whether this host is to follow a topic now. Every host reads each topic once at its start.
+func (f *Follower) wanted(t plan.Topic) bool {
+	_, known := f.state.Revision(t)
+	return !known || f.watch.Watcher(time.Now())
+}
+
+// Probe asks the source whether it answers while this host follows it: a watch that brings nothing does not
+// tell a calm source from one that is cut off.
+func (f *Follower) Probe(ctx context.Context) error {
+	for ctx.Err() == nil {
+		sleep(ctx, probeEvery)
+		if !f.watch.Watcher(time.Now()) {
+			continue
+		}
+		call, cancel := context.WithTimeout(ctx, probeWait)
+		err := f.source.Ping(call)
+		cancel()
+		if ctx.Err() != nil {
+			return nil
+		}
+		f.watch.SetStore(err == nil)
+		if err != nil {
+			f.log.Warn("store does not answer", "event", "lost", "error", err)
+			f.interrupt()
+		}
+	}
+	return nil
+}
+
+// interrupt ends the watches under way, whose connections may be silent.
+func (f *Follower) interrupt() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, cancel := range f.watches {
+		cancel()
+	}
+	f.source.Drop()
+}
+
 func (f *Follower) failed(t plan.Topic, err error, listed bool) {
 	f.log.Warn("store call failed", "event", "lost", "topic", string(t), "watch", listed, "error", err)
 	if !listed {
@@ -92,6 +145,9 @@
 	rev, _ := f.state.Revision(t)
 	call, cancel := context.WithTimeout(ctx, watchWait+answerWait)
 	defer cancel()
+	f.mu.Lock()
+	f.watches[t] = cancel
+	f.mu.Unlock()
 	l, err := f.source.Watch(call, t, rev, watchWait)
 	if err != nil {
 		return err
--- a/edged/pkg/mesh/mesh.go
+++ b/edged/pkg/mesh/mesh.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"log/slog"
+	"maps"
 	"net"
 	"net/http"
 	"net/netip"
@@ -25,9 +26,13 @@
 	// tickEvery is the time between beats to hosts of the own region while work changes.
 	tickEvery = 100 * time.Millisecond
 	// farEvery is the time between beats to other regions, whose bytes are dear.
-	farEvery = 300 * time.Millisecond
-	// liveFor is how long a host counts as alive after its last beat: three far beats and a delay.
+	farEvery = 900 * time.Millisecond
+	// liveFor is how long a host counts as alive after its last beat: three beats without changes.
 	liveFor = 1200 * time.Millisecond
+	// farLiveFor is the same for hosts of other regions.
+	farLiveFor = 3 * time.Second
+	// unchangedEvery is the time between beats while no work changes.
+	unchangedEvery = 400 * time.Millisecond
 	// deadEvery is the time between beats to hosts that are not heard.
 	deadEvery = time.Second
 	// forgetAfter is when a host that is not heard is no longer written to.
@@ -47,8 +52,6 @@
 	Name, DataCentre, Region, IP string
 	// Port is the port for peers, the same on all hosts.
 	Port int
-	// Seeds are IPs of hosts to ask first.
-	Seeds []string
 	// Regions gives the region of each data centre.
 	Regions map[string]string
 }
@@ -70,6 +73,8 @@
 	store   storeState
 	pulling map[string]bool
 	most    int
+	// lastWork is what the last beats told.
+	lastWork map[uint32]int
 }
 
 // New returns a mesh that listens on the host's port for peers.
@@ -85,12 +90,16 @@
 		hosts: map[string]*Host{}, pulling: map[string]bool{},
 		client: &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, DisableCompression: true, IdleConnTimeout: idlePeer}},
 	}
-	for _, ip := range self.Seeds {
-		m.meet(now, ip)
-	}
 	return m, nil
 }
 
+// Meet adds a host's IP to write to.
+func (m *Mesh) Meet(now time.Time, ip string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.meet(now, ip)
+}
+
 // meet adds an address to write to.
 func (m *Mesh) meet(now time.Time, ip string) {
 	if ip == m.self.IP || ip == "" {
@@ -98,7 +107,7 @@
 	}
 	address := net.JoinHostPort(ip, strconv.Itoa(m.self.Port))
 	if m.hosts[address] == nil {
-		m.hosts[address] = &Host{address: address, heard: now.Add(-liveFor)}
+		m.hosts[address] = &Host{address: address, heard: now.Add(-farLiveFor)}
 	}
 }
 
@@ -129,7 +138,7 @@
 func (m *Mesh) live(now time.Time) []Host {
 	var out []Host
 	for _, h := range m.hosts {
-		if h.name != "" && now.Sub(h.heard) < liveFor {
+		if h.name != "" && m.alive(now, h) {
 			out = append(out, *h)
 		}
 	}
@@ -137,6 +146,13 @@
 	return out
 }
 
+func (m *Mesh) alive(now time.Time, h *Host) bool {
+	if h.region == m.self.Region {
+		return now.Sub(h.heard) < liveFor
+	}
+	return now.Sub(h.heard) < farLiveFor
+}
+
 // Most returns the highest number of hosts that were alive at once, this one included.
 func (m *Mesh) Most() int {
 	m.mu.Lock()
@@ -230,7 +246,7 @@
 		m.mu.Unlock()
 		return
 	}
-	if h.incarnation != b.Incarnation || now.Sub(h.heard) >= liveFor {
+	if h.incarnation != b.Incarnation || !m.alive(now, h) {
 		m.log.Info("host alive", "event", "alive", "host", b.Name, "dataCentre", b.DataCentre)
 	}
 	h.name, h.dataCentre, h.region = b.Name, b.DataCentre, m.self.Regions[b.DataCentre]
@@ -291,6 +307,8 @@
 	for _, t := range plan.Topics() {
 		b.Revisions = append(b.Revisions, m.state.Content(t))
 	}
+	same := maps.Equal(work, m.lastWork)
+	m.lastWork = work
 	var plain, full []byte
 	for address, h := range m.hosts {
 		silent := now.Sub(h.heard)
@@ -298,8 +316,8 @@
 			delete(m.hosts, address)
 			continue
 		}
-		dead := silent >= liveFor
-		if !urgent && !due(now, h, m.self.Region, dead) || (dead && now.Sub(h.sent) < deadEvery) {
+		dead := !m.alive(now, h)
+		if !urgent && !due(now, h, m.self.Region, dead, same) || (dead && now.Sub(h.sent) < deadEvery) {
 			continue
 		}
 		h.sent = now
@@ -315,8 +333,11 @@
 	}
 }
 
-func due(now time.Time, h *Host, region string, dead bool) bool {
+func due(now time.Time, h *Host, region string, dead, same bool) bool {
 	every := tickEvery
+	if same {
+		every = unchangedEvery
+	}
 	if h.region != region {
 		every = farEvery
 	}
--- a/lib/pkg/config/run.go
+++ b/lib/pkg/config/run.go
@@ -21,6 +21,8 @@
 	Long string
 	// Settings holds the defaults.
 	Settings Settings
+	// Located, if set, is told the path of the settings file before Run.
+	Located func(path string)
 	// Run runs until the context ends. Layers names the debug layers of the log.
 	Run func(ctx context.Context, layers string) error
 }
@@ -64,6 +66,9 @@
 			if check {
 				return nil
 			}
+			if d.Located != nil {
+				d.Located(path)
+			}
 			ctx, stop := signal.NotifyContext(cmd.Context(), syscall.SIGTERM, syscall.SIGINT)
 			defer stop()
 			if err := d.Run(ctx, layers); err != nil {
