--- a/edged/pkg/follow/state.go
+++ b/edged/pkg/follow/state.go
@@ -6,7 +6,6 @@
 	"log/slog"
 	"maps"
 	"slices"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -18,13 +17,18 @@
 // return: live backend servers are back about 2 s after it, by the platform's pages.
 const holdAfterReturn = 2200 * time.Millisecond
 
-// Snapshot is all that is known of a topic, as hosts pass it on.
+// Snapshot is what a host passes on of a topic: all of it, or what changed after a revision.
 type Snapshot struct {
 	Topic    plan.Topic
 	Revision uint64
-	Changes  []plan.Change
+	// Full says that what is not in Changes does not exist.
+	Full    bool
+	Changes []plan.Change
 }
 
+// goneMost is how many removals of a topic are remembered, so that peers need not be sent the whole topic.
+const goneMost = 512
+
 // State is what is declared. It is safe for concurrent use.
 type State struct {
 	log     *slog.Logger
@@ -46,6 +50,18 @@
 	content  uint64
 	known    bool
 	items    map[string]plan.Change
+	// gone holds the last removals; since is the revision after which none is missing there.
+	gone  []plan.Change
+	since uint64
+}
+
+// buried remembers a removal.
+func (t *topic) buried(c plan.Change) {
+	t.gone = append(t.gone, c)
+	if len(t.gone) > goneMost {
+		t.since = max(t.since, t.gone[0].Revision)
+		t.gone = t.gone[1:]
+	}
 }
 
 type hold struct {
@@ -155,6 +171,9 @@
 	if dirty {
 		top.content = l.Revision
 	}
+	if !top.known {
+		top.since = l.Revision
+	}
 	top.known, top.revision = true, l.Revision
 	s.publish(dirty)
 }
@@ -175,6 +194,16 @@
 	s.publish(dirty)
 }
 
+// Take takes what a peer passed on.
+func (s *State) Take(now time.Time, snap Snapshot) {
+	l := plan.Listing{Revision: snap.Revision, Changes: snap.Changes}
+	if snap.Full {
+		s.Replace(now, snap.Topic, l)
+		return
+	}
+	s.Change(now, snap.Topic, l)
+}
+
 // Tick lets go of entries that did not come back in time.
 func (s *State) Tick(now time.Time) {
 	s.mu.Lock()
@@ -199,6 +228,9 @@
 	switch item := c.Item.(type) {
 	case plan.Gone:
 		delete(top.items, c.Name)
+		if had {
+			top.buried(c)
+		}
 		s.lapse(now, c.Name, old)
 		if had {
 			s.log.Info("declaration removed", "event", "removed", "topic", string(t), "name", c.Name, "revision", c.Revision)
@@ -296,8 +328,14 @@
 		if !top.known || top.content <= have[t] {
 			continue
 		}
-		changes := slices.SortedFunc(maps.Values(top.items), func(a, b plan.Change) int { return strings.Compare(a.Name, b.Name) })
-		out = append(out, Snapshot{Topic: t, Revision: top.content, Changes: changes})
+		snap := Snapshot{Topic: t, Revision: top.content, Full: have[t] == 0 || have[t] < top.since}
+		for _, c := range slices.Concat(top.gone, slices.Collect(maps.Values(top.items))) {
+			_, removed := c.Item.(plan.Gone)
+			if (snap.Full && !removed) || (!snap.Full && c.Revision > have[t]) {
+				snap.Changes = append(snap.Changes, c)
+			}
+		}
+		out = append(out, snap)
 	}
 	return out
 }
--- a/edged/pkg/mesh/pull.go
+++ b/edged/pkg/mesh/pull.go
@@ -32,11 +32,13 @@
 	Member     *plan.Member      `json:"member,omitempty"`
 	Drained    bool              `json:"drained,omitempty"`
 	Unreadable bool              `json:"unreadable,omitempty"`
+	Gone       bool              `json:"gone,omitempty"`
 }
 
 type snapshot struct {
 	Topic    plan.Topic `json:"topic"`
 	Revision uint64     `json:"revision"`
+	Full     bool       `json:"full,omitempty"`
 	Entries  []entry    `json:"entries"`
 }
 
@@ -64,7 +66,7 @@
 }
 
 func pack(now time.Time, s follow.Snapshot) snapshot {
-	out := snapshot{Topic: s.Topic, Revision: s.Revision}
+	out := snapshot{Topic: s.Topic, Revision: s.Revision, Full: s.Full}
 	for _, c := range s.Changes {
 		e := entry{Name: c.Name, Revision: c.Revision}
 		switch item := c.Item.(type) {
@@ -80,7 +82,9 @@
 			e.Member = &item
 		case plan.Drained:
 			e.Drained = true
-		case plan.Unreadable, plan.Gone:
+		case plan.Gone:
+			e.Gone = true
+		case plan.Unreadable:
 			e.Unreadable = true
 		}
 		out.Entries = append(out.Entries, e)
@@ -88,8 +92,8 @@
 	return out
 }
 
-func unpack(now time.Time, s snapshot) (plan.Listing, error) {
-	out := plan.Listing{Revision: s.Revision}
+func unpack(now time.Time, s snapshot) (follow.Snapshot, error) {
+	out := follow.Snapshot{Topic: s.Topic, Revision: s.Revision, Full: s.Full}
 	for _, e := range s.Entries {
 		c := plan.Change{Name: e.Name, Revision: e.Revision}
 		switch {
@@ -108,6 +112,8 @@
 			c.Item = spec
 		case e.Member != nil:
 			c.Item = *e.Member
+		case e.Gone:
+			c.Item = plan.Gone{}
 		case e.Drained:
 			c.Item = plan.Drained{}
 		default:
@@ -128,7 +134,10 @@
 func (m *Mesh) pullFrom(ctx context.Context, address string) error {
 	q := url.Values{}
 	for _, t := range plan.Topics() {
-		rev, _ := m.state.Revision(t)
+		rev, known := m.state.Revision(t)
+		if !known {
+			rev = 0
+		}
 		q.Set(string(t), strconv.FormatUint(rev, 10))
 	}
 	ctx, cancel := context.WithTimeout(ctx, pullWait)
@@ -152,7 +161,7 @@
 		if err != nil {
 			return err
 		}
-		m.state.Replace(now, s.Topic, l)
+		m.state.Take(now, l)
 	}
 	return nil
 }
