Probe the store's revision, share the slowness that backend servers tell

Ruled out: routes, relays (others had the version 40 ms after the first). Change: a watcher lists an empty kind every 0.7 s and lists again when no topic has reached the revision told there.

--- a/edged/pkg/follow/follow.go
+++ b/edged/pkg/follow/follow.go
@@ -12,16 +12,18 @@
 
 // Times of following.
 const (
-	// watchWait is how long one watch waits; a silent connection is found after it.
-	watchWait = 4 * time.Second
+	// watchWait is how long one watch waits; a silent one is found by the probe.
+	watchWait = 10 * time.Second
 	// answerWait is how long the source may take beyond that; its answers take 4 ms, 240 ms when slow.
 	answerWait = time.Second
 	// firstPause and lastPause bound the pause between failed calls.
 	firstPause = 100 * time.Millisecond
 	lastPause  = time.Second
 	// probeEvery and probeWait let another host take over well within the 2.5 s of a leaving backend server.
-	probeEvery = 500 * time.Millisecond
+	probeEvery = 700 * time.Millisecond
 	probeWait  = 600 * time.Millisecond
+	// eventWait is how long the event of a change may take beyond the answer that tells of it.
+	eventWait = 300 * time.Millisecond
 	// idlePause is how often a host that does not follow asks whether it should.
 	idlePause = 50 * time.Millisecond
 )
@@ -89,8 +91,8 @@
 	return !known || f.watch.Watcher(time.Now())
 }
 
-// Probe asks the source whether it answers while this host follows it: a watch that brings nothing does not
-// tell a calm source from one that is cut off.
+// Probe asks the source for its revision while this host follows it. A watch that brings nothing does not
+// tell a calm source from one that is cut off or whose history was dropped.
 func (f *Follower) Probe(ctx context.Context) error {
 	for ctx.Err() == nil {
 		sleep(ctx, probeEvery)
@@ -98,7 +100,7 @@
 			continue
 		}
 		call, cancel := context.WithTimeout(ctx, probeWait)
-		err := f.source.Ping(call)
+		rev, err := f.source.Revision(call)
 		cancel()
 		if ctx.Err() != nil {
 			return nil
@@ -107,11 +109,29 @@
 		if err != nil {
 			f.log.Warn("store does not answer", "event", "lost", "error", err)
 			f.interrupt()
+			continue
+		}
+		if f.behind(rev) {
+			sleep(ctx, eventWait)
+			if f.behind(rev) {
+				f.log.Warn("watches miss changes", "event", "missed", "revision", rev)
+				f.interrupt()
+			}
 		}
 	}
 	return nil
 }
 
+// behind tells whether no topic has reached a revision of the source.
+func (f *Follower) behind(rev uint64) bool {
+	for _, t := range plan.Topics() {
+		if known, ok := f.state.Revision(t); ok && known >= rev {
+			return false
+		}
+	}
+	return true
+}
+
 // interrupt ends the watches under way, whose connections may be silent.
 func (f *Follower) interrupt() {
 	f.mu.Lock()
--- a/edged/pkg/mesh/beat.go
+++ b/edged/pkg/mesh/beat.go
@@ -7,6 +7,7 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 
+	"rosemarygrade.dev/edged/pkg/pick"
 	"rosemarygrade.dev/lib/pkg/fault"
 	"rosemarygrade.dev/lib/pkg/plan"
 )
@@ -39,8 +40,9 @@
 	// BackMillis is how long ago the store returned after it was away.
 	BackMillis int64
 	Revisions  []uint64
-	Work       map[uint32]int
-	Peers      []string
+	// Work holds for each backend server the count and, in the higher bits, ten times the slowness.
+	Work  map[uint32]uint32
+	Peers []string
 }
 
 // storeState is what a host knows of its way to the store.
@@ -52,6 +54,29 @@
 	storeFails
 )
 
+// slownessShift and slownessScale place the slowness in a work figure.
+const (
+	slownessShift = 16
+	countMask     = 1<<slownessShift - 1
+	slownessScale = 10
+)
+
+func packWork(notes map[uint32]pick.Note) map[uint32]uint32 {
+	out := make(map[uint32]uint32, len(notes))
+	for name, n := range notes {
+		out[name] = uint32(min(n.Count, countMask)) | uint32(n.Slowness*slownessScale)<<slownessShift
+	}
+	return out
+}
+
+func unpackWork(work map[uint32]uint32) map[uint32]pick.Note {
+	out := make(map[uint32]pick.Note, len(work))
+	for name, w := range work {
+		out[name] = pick.Note{Count: int(w & countMask), Slowness: float64(w>>slownessShift) / slownessScale}
+	}
+	return out
+}
+
 func (b *beat) encode() ([]byte, error) { return msgpack.Marshal(b) }
 
 func decodeBeat(data []byte) (*beat, error) {
--- a/edged/pkg/mesh/mesh.go
+++ b/edged/pkg/mesh/mesh.go
@@ -74,7 +74,7 @@
 	pulling map[string]bool
 	most    int
 	// lastWork is what the last beats told.
-	lastWork map[uint32]int
+	lastWork map[uint32]uint32
 }
 
 // New returns a mesh that listens on the host's port for peers.
@@ -269,7 +269,7 @@
 	if b.Store == storeAnswers && b.BackMillis >= 0 {
 		m.state.BackSince(now, time.Duration(b.BackMillis)*time.Millisecond)
 	}
-	m.table.Report(now, b.Name, b.Work)
+	m.table.Report(now, b.Name, unpackWork(b.Work))
 	if pull {
 		go func() {
 			m.pull(ctx, address)
@@ -292,7 +292,7 @@
 
 // Tick sends beats that are due. urgent sends to all.
 func (m *Mesh) Tick(now time.Time, urgent bool) {
-	work := m.table.Own()
+	work := packWork(m.table.Notes(now))
 	members := m.state.Members()
 	back := m.state.BackAge(now)
 	m.mu.Lock()
--- a/edged/pkg/pick/pick.go
+++ b/edged/pkg/pick/pick.go
@@ -85,6 +85,7 @@
 
 	mu       sync.Mutex
 	servers  map[string]*server
+	short    map[uint32]*server
 	services map[string]*service
 	peers    map[string]report
 }
@@ -99,14 +100,22 @@
 	overload bool
 }
 
+// Note is what a host tells others of a backend server.
+type Note struct {
+	// Count is the host's own requests under way there.
+	Count int
+	// Slowness is what the backend server told with an answer just now; 0 means nothing new.
+	Slowness float64
+}
+
 type report struct {
-	at     time.Time
-	counts map[uint32]int
+	at    time.Time
+	notes map[uint32]Note
 }
 
 // New returns an empty table.
 func New(fleet Fleet) *Table {
-	return &Table{fleet: fleet, servers: map[string]*server{}, services: map[string]*service{}, peers: map[string]report{}}
+	return &Table{fleet: fleet, servers: map[string]*server{}, short: map[uint32]*server{}, services: map[string]*service{}, peers: map[string]report{}}
 }
 
 // Short returns the short name of a backend server in reports.
@@ -117,6 +126,7 @@
 	if s == nil {
 		s = newServer(b)
 		t.servers[b.Key()] = s
+		t.short[Short(b)] = s
 	}
 	s.backend = b
 	return s
@@ -131,21 +141,30 @@
 	return s
 }
 
-// Report takes a peer's counts of its own requests under way, and returns what may go on now.
-func (t *Table) Report(now time.Time, peer string, counts map[uint32]int) {
+// Report takes a peer's notes.
+func (t *Table) Report(now time.Time, peer string, notes map[uint32]Note) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.peers[peer] = report{at: now, counts: counts}
+	t.peers[peer] = report{at: now, notes: notes}
+	for name, n := range notes {
+		if s := t.short[name]; s != nil && n.Slowness > 0 {
+			s.slowness, s.slownessAt = n.Slowness, now
+		}
+	}
 }
 
-// Own returns the requests of this host under way, by short name.
-func (t *Table) Own() map[uint32]int {
+// Notes returns what this host has to tell of backend servers, by short name.
+func (t *Table) Notes(now time.Time) map[uint32]Note {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	out := map[uint32]int{}
+	out := map[uint32]Note{}
 	for _, s := range t.servers {
-		if s.own > 0 {
-			out[Short(s.backend)] = s.own
+		n := Note{Count: s.own}
+		if now.Sub(s.seen) < noteLife {
+			n.Slowness = s.slowness
+		}
+		if n != (Note{}) {
+			out[Short(s.backend)] = n
 		}
 	}
 	return out
@@ -268,6 +287,7 @@
 	for key, s := range t.servers {
 		if s.own == 0 && !v.Knows(key) {
 			delete(t.servers, key)
+			delete(t.short, Short(s.backend))
 			continue
 		}
 		s.trim()
--- a/edged/pkg/pick/server.go
+++ b/edged/pkg/pick/server.go
@@ -16,6 +16,8 @@
 	reportLife = time.Second
 	// seenLife is how long the work counts that a backend server told with an answer.
 	seenLife = 100 * time.Millisecond
+	// noteLife is how long the told slowness is new enough to be passed on.
+	noteLife = 150 * time.Millisecond
 	// slownessLife is how long the slowness counts that it told; it changes several times a second.
 	slownessLife = 500 * time.Millisecond
 	// failuresOut is how many failures in a row take a backend server out for a while.
@@ -160,7 +162,7 @@
 	n := s.own
 	for _, r := range t.peers {
 		if now.Sub(r.at) < reportLife {
-			n += r.counts[Short(s.backend)]
+			n += r.notes[Short(s.backend)].Count
 		}
 	}
 	return n
--- a/lib/pkg/plan/change.go
+++ b/lib/pkg/plan/change.go
@@ -63,8 +63,8 @@
 	List(ctx context.Context, now time.Time, topic Topic) (Listing, error)
 	// Watch returns what changed after a revision, or nothing once wait has passed.
 	Watch(ctx context.Context, topic Topic, since uint64, wait time.Duration) (Listing, error)
-	// Ping tells whether the source answers.
-	Ping(ctx context.Context) error
+	// Revision returns the revision of the last change of anything.
+	Revision(ctx context.Context) (uint64, error)
 	// Join declares a host of the system.
 	Join(ctx context.Context, m Member) error
 	// Drop gives up open connections, which may have gone silent.
