Spread each region's objects over the regions by slots

Cause: almaty has 2 of 12 backend servers for a third of the requests; pushing other regions back by 0.35 of the hash range left 69% of its objects there (1.4 times the mean load). Change: weighted rendezvous hash; each region keeps what its slots carry, a quarter of all is spread freely.

--- a/edged/cmds/process.go
+++ b/edged/cmds/process.go
@@ -68,6 +68,15 @@
 // Keeper implements pick.Fleet.
 func (p *process) Keeper(b *plan.Backend) bool { return p.mesh.Keeper(time.Now(), b) }
 
+// Demand implements pick.Fleet. Data centres have about the same number of callers each.
+func (p *process) Demand() map[string]float64 {
+	out := map[string]float64{}
+	for _, region := range p.settings.Regions {
+		out[region] += 1 / float64(len(p.settings.Regions))
+	}
+	return out
+}
+
 // Hosts implements gate.Env.
 func (p *process) Hosts() int { return p.mesh.Most() }
 
--- a/edged/pkg/pick/option.go
+++ b/edged/pkg/pick/option.go
@@ -10,7 +10,7 @@
 
 // Rules of the choice.
 const (
-	// farPush is how much of the hash range backend servers of other regions are pushed back.
+	// farPush is how much more of its slots must be free at a backend server of another region.
 	farPush = 0.35
 	// homes is how many backend servers hold an object warm: memory there is for two of them.
 	homes = 2
@@ -99,6 +99,7 @@
 func (t *Table) candidates(now time.Time, v *plan.View, q *Query) []candidate {
 	usable := v.Usable(q.Service)
 	list := make([]candidate, 0, len(usable))
+	sh := t.sharesOf(v, q.Service)
 	for _, b := range usable {
 		if !q.Allows(b.Region()) || slices.Contains(q.Tried, b.Key()) {
 			continue
@@ -112,12 +113,12 @@
 		}
 		rank := 0.0
 		if q.Sticky {
-			rank = unit(q.Object ^ b.Hash())
+			rank = sh.rank(q.Region, q.Object, b)
 		} else {
 			rank = float64(t.load(now, s)) / float64(b.Slots())
-		}
-		if b.Region() != q.Region {
-			rank += farPush
+			if b.Region() != q.Region {
+				rank += farPush
+			}
 		}
 		list = append(list, candidate{s: s, rank: rank})
 	}
@@ -125,6 +126,15 @@
 	return list
 }
 
+// sharesOf returns the spread of a service's objects in a view.
+func (t *Table) sharesOf(v *plan.View, service string) *shares {
+	svc := t.service(service)
+	if svc.shares == nil || svc.shares.view != v {
+		svc.shares = newShares(v, service, t.fleet.Demand())
+	}
+	return svc.shares
+}
+
 // unit spreads a hash over 0 to 1.
 func unit(h uint64) float64 {
 	const (
--- a/edged/pkg/pick/pick.go
+++ b/edged/pkg/pick/pick.go
@@ -77,6 +77,8 @@
 type Fleet interface {
 	// Keeper tells whether this host is the one that sends to a cold backend server.
 	Keeper(b *plan.Backend) bool
+	// Demand returns which part of all requests comes from each region.
+	Demand() map[string]float64
 }
 
 // Table counts work at backend servers and keeps the queues. It is safe for concurrent use.
@@ -93,11 +95,11 @@
 // service is what is known of a service.
 type service struct {
 	warm, cold mean
+	shares     *shares
 	queue      []*Ticket
 	// rate is how many requests a second were sent from here lately.
-	rate     float64
-	rateAt   time.Time
-	overload bool
+	rate   float64
+	rateAt time.Time
 }
 
 // Note is what a host tells others of a backend server.
