--- a/edged/cmds/process.go
+++ b/edged/cmds/process.go
@@ -88,7 +88,7 @@
 		settings: s, log: f.Layer("main"), state: follow.NewState(s.Regions, f.Layer("follow")),
 		pool: conns.NewPool(conns.Dialer(), adapt.EchoedID),
 	}
-	p.table = pick.New(p)
+	p.table = pick.New(pick.DefaultRules(), p)
 	p.reloaded.Store(s)
 	self := mesh.Self{
 		Name: s.Host, DataCentre: s.DataCentre, Region: s.Region, IP: s.IP, Port: s.PeerPorts[0], Regions: s.Regions,
--- a/edged/pkg/pick/option.go
+++ b/edged/pkg/pick/option.go
@@ -2,25 +2,15 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
 	"rosemarygrade.dev/lib/pkg/plan"
 )
 
-// Rules of the choice.
-const (
-	// farPush is how much more of its slots must be free at a backend server of another region.
-	farPush = 0.35
-	// homes is how many backend servers hold an object warm: memory there is for two of them.
-	homes = 2
-	// parked is which part of the slots more requests may wait at a backend server, to hide the way there.
-	parked = 3
-	// farTime is the time of the way to another region and back that is assumed.
-	farTime = 50 * time.Millisecond
-	// spillUse is the use of a service's slots below which objects may go beyond their homes.
-	spillUse = 0.6
-)
+// farPush is how much more of its slots must be free at a backend server of another region.
+const farPush = 0.35
 
 // option is a way for a request.
 type option struct {
@@ -31,8 +21,10 @@
 	work time.Duration
 }
 
-// cost is the time until the answer, with the work counted twice: it keeps others waiting.
-func (o option) cost() time.Duration { return o.wait + 2*o.work }
+// cost is the time until the answer, with the work counted more: it keeps others waiting.
+func (r *Rules) cost(o option) time.Duration {
+	return o.wait + time.Duration(r.WorkWeight*float64(o.work))
+}
 
 type candidate struct {
 	s    *server
@@ -45,11 +37,11 @@
 	var out option
 	found := false
 	for i, c := range list {
-		if i >= homes && q.Sticky && (found && (out.now || t.use(now, v, q.Service) > spillUse)) {
+		if i >= t.rules.Homes && q.Sticky && (found && (out.now || t.use(now, v, q.Service) > t.rules.SpillUse)) {
 			break
 		}
 		o := t.option(now, svc, c.s, q)
-		if !found || o.cost() < out.cost() {
+		if !found || t.rules.cost(o) < t.rules.cost(out) {
 			out, found = o, true
 		}
 		if !q.Sticky && found && out.now {
@@ -76,15 +68,15 @@
 	warm = warm && q.Sticky
 	o := option{server: s, work: time.Duration(float64(svc.usual(warm)) * slow)}
 	if s.backend.Region() != q.Region {
-		o.wait = farTime
+		o.wait = t.rules.FarTime
 	}
 	n, slots := t.load(now, s), s.backend.Slots()
 	over := n + 1 - slots
 	if over > 0 {
 		o.wait += time.Duration(float64(over) / float64(slots) * float64(svc.usual(true)) * slow)
 	}
-	o.now = over <= (slots+parked-1)/parked
-	if begun, running := s.running[q.Object]; running && q.Sticky && !warm {
+	o.now = over <= int(math.Ceil(t.rules.Parked*float64(slots)))
+	if begun, running := s.running[q.Object]; running && q.Sticky && !warm && t.rules.Hold {
 		// The object is being made warm: its next request is faster after that.
 		rest := begun.Add(o.work).Sub(now)
 		soon := time.Duration(float64(svc.usual(true)) * slow)
@@ -130,7 +122,7 @@
 func (t *Table) sharesOf(v *plan.View, service string) *shares {
 	svc := t.service(service)
 	if svc.shares == nil || svc.shares.view != v {
-		svc.shares = newShares(v, service, t.fleet.Demand())
+		svc.shares = newShares(v, service, t.fleet.Demand(), t.rules.FreeShare)
 	}
 	return svc.shares
 }
--- a/edged/pkg/pick/pick.go
+++ b/edged/pkg/pick/pick.go
@@ -83,6 +83,7 @@
 
 // Table counts work at backend servers and keeps the queues. It is safe for concurrent use.
 type Table struct {
+	rules Rules
 	fleet Fleet
 
 	mu       sync.Mutex
@@ -116,8 +117,10 @@
 }
 
 // New returns an empty table.
-func New(fleet Fleet) *Table {
-	return &Table{fleet: fleet, servers: map[string]*server{}, short: map[uint32]*server{}, services: map[string]*service{}, peers: map[string]report{}}
+func New(rules Rules, fleet Fleet) *Table {
+	return &Table{
+		rules: rules, fleet: fleet, servers: map[string]*server{}, short: map[uint32]*server{}, services: map[string]*service{}, peers: map[string]report{},
+	}
 }
 
 // Short returns the short name of a backend server in reports.
@@ -196,7 +199,7 @@
 		t.start(now, v, svc, o.server, &q)
 		return Chosen{Backend: o.server.backend}
 	}
-	if verdict, full := svc.judge(now, &q, o, ok); full {
+	if verdict, full := svc.judge(now, &q, o, ok, t.rules.LateShare); full {
 		return verdict
 	}
 	ticket := &Ticket{query: q, since: now, result: make(chan Result, 1)}
--- a/edged/pkg/pick/queue.go
+++ b/edged/pkg/pick/queue.go
@@ -9,8 +9,6 @@
 const (
 	// lookAhead is how many of those that wait are looked at when a slot may be free.
 	lookAhead = 48
-	// lateShare is which part of its time a request may wait that can't meet its objective any more.
-	lateShare = 0.25
 	// rateTime is the time constant of the rate of sends.
 	rateTime = time.Second
 	// rateFloor is the lowest rate that is assumed, in requests a second.
@@ -44,7 +42,7 @@
 func (s *service) least() time.Duration { return s.warm.value(firstWarm) / 2 }
 
 // judge turns a request away that would wait for too long.
-func (s *service) judge(now time.Time, q *Query, o option, ok bool) (Result, bool) {
+func (s *service) judge(now time.Time, q *Query, o option, ok bool, lateShare float64) (Result, bool) {
 	wait := s.wait(now, s.ahead(q))
 	finish := now.Add(wait + s.warm.value(firstWarm))
 	if ok {
--- /dev/null
+++ b/edged/pkg/pick/rules.go
@@ -0,0 +1,39 @@
+package pick
+
+import "time"
+
+// Rules are the figures of the decisions. The comments tell where each comes from; docs/design/load.md holds
+// the runs.
+type Rules struct {
+	// Homes is how many backend servers hold an object warm: memory there is for about two of them.
+	Homes int
+	// FreeShare is which part of a region's objects is spread over all regions by their slots, so that the
+	// second home of many lies in a region whose load has another time of day.
+	FreeShare float64
+	// SpillUse is the use of a service's slots below which objects may go beyond their homes; from trials.
+	SpillUse float64
+	// Parked is which part of its slots may wait at a backend server, to hide the way there; from trials.
+	Parked float64
+	// WorkWeight is how often the work counts beside the wait: work keeps others waiting; from trials.
+	WorkWeight float64
+	// LateShare is which part of its time a request may wait that can't meet its objective; from trials.
+	LateShare float64
+	// Hold makes a request wait for the first run of its object where that is sooner than a run of its own.
+	Hold bool
+	// FarTime is the time of the way to another region and back that is assumed: 40 and 70 ms at the users'.
+	FarTime time.Duration
+}
+
+// DefaultRules returns the rules in use.
+func DefaultRules() Rules {
+	return Rules{
+		Homes:      2,
+		FreeShare:  0.25,
+		SpillUse:   0.6,
+		Parked:     0.34,
+		WorkWeight: 2,
+		LateShare:  0.25,
+		Hold:       true,
+		FarTime:    50 * time.Millisecond,
+	}
+}
--- a/edged/pkg/pick/shares.go
+++ b/edged/pkg/pick/shares.go
@@ -6,10 +6,6 @@
 	"rosemarygrade.dev/lib/pkg/plan"
 )
 
-// freeShare is which part of a region's objects is spread over all regions by their slots, so that the
-// second home of many lies in a region whose load has another time of day.
-const freeShare = 0.25
-
 // shares is how the objects of each region are spread over the backend servers of one service.
 type shares struct {
 	view *plan.View
@@ -20,7 +16,7 @@
 // newShares divides the slots of a service among the regions: each keeps its own objects as far as its slots
 // go, and what is left goes where there are more slots than needed. Regions count by their data centres,
 // which have about the same number of callers each.
-func newShares(v *plan.View, service string, demand map[string]float64) *shares {
+func newShares(v *plan.View, service string, demand map[string]float64, freeShare float64) *shares {
 	slots, total := map[string]float64{}, 0.0
 	for _, b := range v.Usable(service) {
 		slots[b.Region()] += float64(b.Slots())
