Test the platform's path, the decisions, and load patterns in a model without network

Cause: one topic's revision counted for all. Change: the probe compares with the newest change that was seen, and asks for every topic anew.

--- a/edged/pkg/follow/follow.go
+++ b/edged/pkg/follow/follow.go
@@ -94,6 +94,8 @@
 // Probe asks the source for its revision while this host follows it. A watch that brings nothing does not
 // tell a calm source from one that is cut off or whose history was dropped.
 func (f *Follower) Probe(ctx context.Context) error {
+	// read is the highest revision at which every topic was read anew.
+	var read, asked uint64
 	for ctx.Err() == nil {
 		sleep(ctx, probeEvery)
 		if !f.watch.Watcher(time.Now()) {
@@ -111,25 +113,20 @@
 			f.interrupt()
 			continue
 		}
-		if f.behind(rev) {
-			sleep(ctx, eventWait)
-			if f.behind(rev) {
-				f.log.Warn("watches miss changes", "event", "missed", "revision", rev)
-				f.interrupt()
-			}
+		if asked > 0 && f.state.ReadAll(asked, plan.Topics()...) {
+			read, asked = asked, 0
 		}
-	}
-	return nil
-}
-
-// behind tells whether no topic has reached a revision of the source.
-func (f *Follower) behind(rev uint64) bool {
-	for _, t := range plan.Topics() {
-		if known, ok := f.state.Revision(t); ok && known >= rev {
-			return false
+		if rev <= max(read, f.state.Newest()) {
+			continue
+		}
+		sleep(ctx, eventWait)
+		if rev > max(read, f.state.Newest()) {
+			f.log.Warn("watches miss changes", "event", "missed", "revision", rev)
+			asked = rev
+			f.interrupt()
 		}
 	}
-	return true
+	return nil
 }
 
 // interrupt ends the watches under way, whose connections may be silent.
--- a/edged/pkg/follow/state.go
+++ b/edged/pkg/follow/state.go
@@ -42,6 +42,8 @@
 	held   map[string]hold
 	back   time.Time
 	away   bool
+	// newest is the revision of the newest change that was seen.
+	newest uint64
 }
 
 type topic struct {
@@ -95,6 +97,25 @@
 	return s.topics[t].revision, s.topics[t].known
 }
 
+// Newest returns the revision of the newest change that was seen in any topic.
+func (s *State) Newest() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.newest
+}
+
+// ReadAll tells whether each of the topics has been read at a revision or later.
+func (s *State) ReadAll(revision uint64, topics ...plan.Topic) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, t := range topics {
+		if !s.topics[t].known || s.topics[t].revision < revision {
+			return false
+		}
+	}
+	return true
+}
+
 // Content returns the revision at which a topic last changed.
 func (s *State) Content(t plan.Topic) uint64 {
 	s.mu.Lock()
@@ -161,7 +182,7 @@
 	dirty := !top.known
 	for _, c := range l.Changes {
 		seen[c.Name] = true
-		dirty = s.apply(now, t, top, c) || dirty
+		dirty = s.applyNew(now, t, top, c) || dirty
 	}
 	for name := range top.items {
 		if !seen[name] {
@@ -185,7 +206,7 @@
 	top := s.topics[t]
 	dirty := false
 	for _, c := range l.Changes {
-		dirty = s.apply(now, t, top, c) || dirty
+		dirty = s.applyNew(now, t, top, c) || dirty
 	}
 	top.revision = max(top.revision, l.Revision)
 	if dirty {
@@ -219,6 +240,12 @@
 	s.publish(dirty)
 }
 
+// applyNew takes one change that carries its own revision.
+func (s *State) applyNew(now time.Time, t plan.Topic, top *topic, c plan.Change) bool {
+	s.newest = max(s.newest, c.Revision)
+	return s.apply(now, t, top, c)
+}
+
 // apply takes one change and tells whether the view may differ.
 func (s *State) apply(now time.Time, t plan.Topic, top *topic, c plan.Change) bool {
 	old, had := top.items[c.Name]
--- /dev/null
+++ b/edged/pkg/pick/pick_test.go
@@ -0,0 +1,242 @@
+package pick
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"rosemarygrade.dev/lib/pkg/plan"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+type testFleet struct{ keeper bool }
+
+func (f testFleet) Keeper(*plan.Backend) bool { return f.keeper }
+
+func (testFleet) Demand() map[string]float64 { return map[string]float64{"north": 0.5, "south": 0.5} }
+
+// view has n backend servers with two slots, in turn in both regions.
+func view(n int, change func(s *plan.BackendSpec)) *plan.View {
+	var specs []plan.BackendSpec
+	for i := range n {
+		s := plan.BackendSpec{ID: fmt.Sprintf("b%d", i), Service: "alpha", Address: "x", DataCentre: []string{"n", "s"}[i%2], Slots: 2}
+		if change != nil {
+			change(&s)
+		}
+		specs = append(specs, s)
+	}
+	config, err := plan.NewConfig(plan.ConfigSpec{Services: []plan.ServiceSpec{{Name: "alpha", ColdRate: 2}}})
+	if err != nil {
+		panic(err)
+	}
+	return plan.NewView(config, specs, nil, map[string]string{"n": "north", "s": "south"})
+}
+
+func query(object uint64) Query {
+	return Query{
+		Service: "alpha", Region: "north", Allows: func(string) bool { return true }, Object: object, Sticky: true,
+		Objective: start.Add(time.Second), Deadline: start.Add(3 * time.Second),
+	}
+}
+
+func chosen(t *testing.T, r Result) *plan.Backend {
+	t.Helper()
+	c, ok := r.(Chosen)
+	assert.Assert(t, ok, "%T", r)
+	return c.Backend
+}
+
+// finish ends a request, which took a third of the time where its object was warm.
+func finish(table *Table, now time.Time, b *plan.Backend, q Query) {
+	took := firstCold
+	if _, warm := table.server(b).warm[q.Object]; warm {
+		took = firstWarm
+	}
+	table.Done(now, b, &q, took, Answered, Load{})
+}
+
+func TestHomes(t *testing.T) {
+	table, v := New(DefaultRules(), testFleet{}), view(10, nil)
+	home := map[uint64]string{}
+	for object := range uint64(100) {
+		b := chosen(t, table.Choose(start, v, query(object)))
+		home[object] = b.ID()
+		finish(table, start, b, query(object))
+	}
+	t.Run("an object stays where it is warm", func(t *testing.T) {
+		for object, id := range home {
+			b := chosen(t, table.Choose(start, v, query(object)))
+			assert.Equal(t, b.ID(), id)
+			finish(table, start, b, query(object))
+		}
+	})
+	t.Run("another host finds the same home", func(t *testing.T) {
+		other := New(DefaultRules(), testFleet{})
+		for object, id := range home {
+			b := chosen(t, other.Choose(start, v, query(object)))
+			assert.Equal(t, b.ID(), id)
+			finish(other, start, b, query(object))
+		}
+	})
+	t.Run("few objects move when a backend server joins", func(t *testing.T) {
+		wider, fresh, moved := view(11, nil), New(DefaultRules(), testFleet{}), 0
+		for object, id := range home {
+			b := chosen(t, fresh.Choose(start, wider, query(object)))
+			if b.ID() != id {
+				moved++
+			}
+			finish(fresh, start, b, query(object))
+		}
+		assert.Assert(t, moved <= 2*100/11+5, "%d of 100 moved", moved)
+	})
+}
+
+func TestQueue(t *testing.T) {
+	fill := func(table *Table, v *plan.View) []*plan.Backend {
+		var busy []*plan.Backend
+		for object := uint64(100); ; object++ {
+			r := table.Choose(start, v, query(object))
+			c, ok := r.(Chosen)
+			if !ok {
+				if q, waits := r.(Queued); waits {
+					table.Cancel(q.Ticket)
+				}
+				return busy
+			}
+			busy = append(busy, c.Backend)
+		}
+	}
+	t.Run("a request waits while its homes are full, and goes when a slot is free", func(t *testing.T) {
+		table, v := New(DefaultRules(), testFleet{}), view(2, nil)
+		busy := fill(table, v)
+		q, ok := table.Choose(start, v, query(1)).(Queued)
+		assert.Assert(t, ok)
+		for _, b := range busy {
+			finish(table, start, b, query(1))
+		}
+		table.Drain(start, v, "alpha")
+		chosen(t, <-q.Ticket.Result())
+	})
+	t.Run("the urgent one goes first", func(t *testing.T) {
+		table, v := New(DefaultRules(), testFleet{}), view(1, nil)
+		busy := fill(table, v)
+		low, high := query(1), query(2)
+		low.Priority, high.Priority = 2, 0
+		later, ok := table.Choose(start, v, low).(Queued)
+		assert.Assert(t, ok)
+		first, ok := table.Choose(start, v, high).(Queued)
+		assert.Assert(t, ok)
+		finish(table, start, busy[0], query(1))
+		table.Drain(start, v, "alpha")
+		assert.Equal(t, len(first.Ticket.Result()), 1)
+		assert.Equal(t, len(later.Ticket.Result()), 0)
+	})
+	t.Run("a request that would come too late is turned away at once", func(t *testing.T) {
+		table, v := New(DefaultRules(), testFleet{}), view(1, nil)
+		fill(table, v)
+		full := 0
+		for range 50 {
+			if f, ok := table.Choose(start, v, query(1)).(Full); ok {
+				assert.Assert(t, f.After > 0)
+				full++
+			}
+		}
+		assert.Assert(t, full > 0)
+	})
+	t.Run("a request that gives up frees what it was given", func(t *testing.T) {
+		table, v := New(DefaultRules(), testFleet{}), view(1, nil)
+		busy := fill(table, v)
+		q, ok := table.Choose(start, v, query(1)).(Queued)
+		assert.Assert(t, ok)
+		finish(table, start, busy[0], query(1))
+		table.Drain(start, v, "alpha")
+		assert.Assert(t, table.Cancel(q.Ticket) != nil)
+		assert.Equal(t, table.Waiting(), 0)
+	})
+}
+
+func TestLimitsOfBackends(t *testing.T) {
+	t.Run("only the keeper sends to a cold one, at its rate", func(t *testing.T) {
+		cold := view(1, func(s *plan.BackendSpec) { s.ColdUntil = start.Add(time.Minute) })
+		_, sent := New(DefaultRules(), testFleet{}).Choose(start, cold, query(1)).(Chosen)
+		assert.Assert(t, !sent)
+		keeper, count := New(DefaultRules(), testFleet{keeper: true}), 0
+		for ms := range 3000 {
+			now := start.Add(time.Duration(ms) * time.Millisecond)
+			if c, ok := keeper.Choose(now, cold, query(uint64(ms))).(Chosen); ok {
+				count++
+				finish(keeper, now, c.Backend, query(uint64(ms)))
+			}
+		}
+		assert.Assert(t, count >= 4 && count <= 6, "%d sends in 3 s at 2 a second", count)
+	})
+	t.Run("one that fails is left out for a while", func(t *testing.T) {
+		table, v := New(DefaultRules(), testFleet{}), view(2, nil)
+		first := chosen(t, table.Choose(start, v, query(1)))
+		q := query(1)
+		for range failuresOut {
+			table.Done(start, first, &q, 0, Failed, Load{})
+		}
+		assert.Assert(t, chosen(t, table.Choose(start, v, query(1))) != first)
+	})
+	t.Run("one that was tried is not tried again", func(t *testing.T) {
+		table, v := New(DefaultRules(), testFleet{}), view(2, nil)
+		q := query(1)
+		first := chosen(t, table.Choose(start, v, q))
+		q.Tried = []string{first.Key()}
+		assert.Assert(t, chosen(t, table.Choose(start, v, q)) != first)
+	})
+	t.Run("other hosts' work counts", func(t *testing.T) {
+		table, v := New(DefaultRules(), testFleet{}), view(1, nil)
+		b := v.Usable("alpha")[0]
+		table.server(b)
+		table.Report(start, "peer", map[uint32]Note{Short(b): {Count: 10}})
+		_, sent := table.Choose(start, v, query(1)).(Chosen)
+		assert.Assert(t, !sent)
+	})
+}
+
+func TestRepeats(t *testing.T) {
+	rule := BudgetRule{Window: 10 * time.Second, Ratio: 0.2, Slack: 50}
+	t.Run("all hosts together stay below the budget in every window", func(t *testing.T) {
+		const hosts, asked = 10, 100
+		repeats, spent := make([]*Repeats, hosts), 0
+		for i := range repeats {
+			repeats[i] = NewRepeats(rule)
+			for range asked {
+				repeats[i].Asked(start, "alpha")
+				if repeats[i].Take(start, "alpha", hosts) {
+					spent++
+				}
+			}
+		}
+		assert.Assert(t, float64(spent) <= rule.Ratio*asked*hosts+rule.Slack, "%d repeats", spent)
+		assert.Assert(t, spent > 0)
+	})
+	t.Run("the budget comes back after the window", func(t *testing.T) {
+		r := NewRepeats(rule)
+		for r.Take(start, "alpha", 1) {
+			continue
+		}
+		assert.Assert(t, r.Take(start.Add(rule.Window+rule.Window/buckets), "alpha", 1))
+	})
+}
+
+func TestSplits(t *testing.T) {
+	config, err := plan.NewConfig(plan.ConfigSpec{
+		Services: []plan.ServiceSpec{{Name: "a"}, {Name: "b"}},
+		Routes: []plan.RouteSpec{{
+			Host: "h", Prefix: "/", Timeout: time.Second, MaxAttempts: 1,
+			Parts: []plan.Part{{Service: "a", Weight: 90}, {Service: "b", Weight: 10}},
+		}},
+	})
+	assert.NilError(t, err)
+	splits, count := NewSplits(), map[string]int{}
+	for range 100 {
+		count[splits.Next(config.Route("h", "/x"))]++
+	}
+	assert.DeepEqual(t, count, map[string]int{"a": 90, "b": 10})
+}
--- a/edged/pkg/pick/server.go
+++ b/edged/pkg/pick/server.go
@@ -139,10 +139,11 @@
 }
 
 func (s *service) usual(warm bool) time.Duration {
+	cold := s.cold.value(firstCold)
 	if warm {
-		return s.warm.value(firstWarm)
+		return min(cold, s.warm.value(cold*firstWarm/firstCold))
 	}
-	return s.cold.value(firstCold)
+	return cold
 }
 
 // slow returns how much longer than usual work takes there now.
--- /dev/null
+++ b/simul/cmds/cmds.go
@@ -0,0 +1,223 @@
+// Package cmds is the command line of simul.
+package cmds
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"math"
+	"os"
+	"strconv"
+	"text/tabwriter"
+
+	"github.com/spf13/cobra"
+
+	"rosemarygrade.dev/edged/pkg/pick"
+	"rosemarygrade.dev/simul/pkg/chart"
+	"rosemarygrade.dev/simul/pkg/polic"
+	"rosemarygrade.dev/simul/pkg/scene"
+	"rosemarygrade.dev/simul/pkg/world"
+)
+
+// defaultSeeds is how many seeds a comparison plays.
+const defaultSeeds = 10
+
+// normal95 is the two-sided 95% quantile of the normal distribution.
+const normal95 = 1.96
+
+// Execute runs simul and returns its exit code.
+func Execute(args []string, out, errs io.Writer) int {
+	cmd := Command()
+	cmd.SetArgs(args)
+	cmd.SetOut(out)
+	cmd.SetErr(errs)
+	if err := cmd.Execute(); err != nil {
+		_, _ = fmt.Fprintln(errs, "simul:", err)
+		return 1
+	}
+	return 0
+}
+
+// Command returns the command line.
+func Command() *cobra.Command {
+	root := &cobra.Command{
+		Use: "simul", Short: "Play load patterns against the decisions of edged, over simulated time",
+		SilenceUsage: true, SilenceErrors: true,
+	}
+	root.CompletionOptions.DisableDefaultCmd = true
+	root.AddCommand(runCommand(), compareCommand(), sweepCommand())
+	return root
+}
+
+// summary is what is shown of a play.
+type summary struct {
+	Worth     float64     `json:"worth"`
+	Worst     float64     `json:"worstDataCentre"`
+	P50Millis int64       `json:"p50Millis"`
+	P99Millis int64       `json:"p99Millis"`
+	ColdShare float64     `json:"coldShare"`
+	WaitMs    int64       `json:"waitMillis"`
+	Total     world.Tally `json:"total"`
+}
+
+func summarize(r *world.Result) summary {
+	const p50, p99 = 50, 99
+	return summary{
+		Worth: r.Total().Worth(), Worst: r.Worst(), P50Millis: r.Quantile(p50).Milliseconds(),
+		P99Millis: r.Quantile(p99).Milliseconds(), Total: r.Total(),
+		ColdShare: r.ColdShare(), WaitMs: r.MeanWait().Milliseconds(),
+	}
+}
+
+func runCommand() *cobra.Command {
+	var (
+		seed         uint64
+		policy, plot string
+		asJSON       bool
+	)
+	cmd := &cobra.Command{
+		Use: "run FILE", Short: "Play a scene once", Args: cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			s, rules, err := load(args[0], policy)
+			if err != nil {
+				return err
+			}
+			r := world.Play(s, rules, seed)
+			if plot != "" {
+				if err := draw(plot, s.Name, r); err != nil {
+					return err
+				}
+			}
+			return show(cmd.OutOrStdout(), summarize(r), asJSON)
+		},
+	}
+	cmd.Flags().Uint64Var(&seed, "seed", 1, "seed of the play")
+	cmd.Flags().StringVar(&policy, "policy", "default", "policy, such as spill or homes=3,hold=false")
+	cmd.Flags().StringVar(&plot, "plot", "", "file for an SVG of the worth by second")
+	cmd.Flags().BoolVar(&asJSON, "json", false, "print JSON")
+	return cmd
+}
+
+func load(path, policy string) (*scene.Scene, pick.Rules, error) {
+	s, err := scene.Load(path)
+	if err != nil {
+		return nil, pick.Rules{}, err
+	}
+	rules, err := polic.Parse(policy)
+	return s, rules, err
+}
+
+func draw(path, title string, r *world.Result) error {
+	f, err := os.Create(path)
+	if err != nil {
+		return err
+	}
+	if err := chart.Draw(f, title, r); err != nil {
+		_ = f.Close()
+		return err
+	}
+	return f.Close()
+}
+
+func show(w io.Writer, s summary, asJSON bool) error {
+	if asJSON {
+		return json.NewEncoder(w).Encode(s)
+	}
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	_, _ = fmt.Fprintln(t, "worth\tworst data centre\tp50 ms\tp99 ms\tcold runs\twait ms\tasked\tin time\tlate\trefused\tfailed")
+	_, _ = fmt.Fprintf(t, "%.3f\t%.3f\t%d\t%d\t%.3f\t%d\t%d\t%d\t%d\t%d\t%d\n", s.Worth, s.Worst, s.P50Millis, s.P99Millis,
+		s.ColdShare, s.WaitMs, s.Total.Asked, s.Total.InTime, s.Total.Late, s.Total.Refused, s.Total.Failed)
+	return t.Flush()
+}
+
+// comparison is the difference of two policies over the same seeds.
+type comparison struct {
+	A     float64 `json:"a"`
+	B     float64 `json:"b"`
+	Diff  float64 `json:"diff"`
+	Half  float64 `json:"halfInterval95"`
+	Seeds int     `json:"seeds"`
+}
+
+// Compare plays two policies with the same seeds.
+func Compare(s *scene.Scene, a, b pick.Rules, seeds int) (meanA, meanB, diff, half float64) {
+	var sum, squares float64
+	for seed := range seeds {
+		x := world.Play(s, a, uint64(seed)+1).Total().Worth()
+		y := world.Play(s, b, uint64(seed)+1).Total().Worth()
+		meanA, meanB = meanA+x, meanB+y
+		sum, squares = sum+y-x, squares+(y-x)*(y-x)
+	}
+	n := float64(seeds)
+	diff = sum / n
+	if seeds > 1 {
+		half = normal95 * math.Sqrt(max(0, squares/n-diff*diff)/(n-1))
+	}
+	return meanA / n, meanB / n, diff, half
+}
+
+func compareCommand() *cobra.Command {
+	var (
+		a, b   string
+		seeds  int
+		asJSON bool
+	)
+	cmd := &cobra.Command{
+		Use: "compare FILE", Short: "Compare two policies on the same seeds", Args: cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			s, rulesA, err := load(args[0], a)
+			if err != nil {
+				return err
+			}
+			rulesB, err := polic.Parse(b)
+			if err != nil {
+				return err
+			}
+			var c comparison
+			c.Seeds = seeds
+			c.A, c.B, c.Diff, c.Half = Compare(s, rulesA, rulesB, seeds)
+			if asJSON {
+				return json.NewEncoder(cmd.OutOrStdout()).Encode(c)
+			}
+			_, err = fmt.Fprintf(cmd.OutOrStdout(), "a %.3f  b %.3f  b-a %+.3f ± %.3f (95%%, %d seeds)\n", c.A, c.B, c.Diff, c.Half, seeds)
+			return err
+		},
+	}
+	cmd.Flags().StringVar(&a, "a", "spill", "first policy")
+	cmd.Flags().StringVar(&b, "b", "default", "second policy")
+	cmd.Flags().IntVar(&seeds, "seeds", defaultSeeds, "how many seeds")
+	cmd.Flags().BoolVar(&asJSON, "json", false, "print JSON")
+	return cmd
+}
+
+func sweepCommand() *cobra.Command {
+	var (
+		rule   string
+		values []string
+		seeds  int
+	)
+	cmd := &cobra.Command{
+		Use: "sweep FILE", Short: "Play a scene with several values of one rule", Args: cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			s, base, err := load(args[0], "default")
+			if err != nil {
+				return err
+			}
+			for _, v := range values {
+				rules := base
+				if err := polic.Set(&rules, rule, v); err != nil {
+					return err
+				}
+				_, mean, diff, half := Compare(s, base, rules, seeds)
+				if _, err := fmt.Fprintf(cmd.OutOrStdout(), "%s=%s  %.3f  against default %+.3f ± %.3f\n", rule, v, mean, diff, half); err != nil {
+					return err
+				}
+			}
+			return nil
+		},
+	}
+	cmd.Flags().StringVar(&rule, "rule", "homes", "rule to vary")
+	cmd.Flags().StringSliceVar(&values, "values", []string{strconv.Itoa(1), strconv.Itoa(2)}, "values of the rule")
+	cmd.Flags().IntVar(&seeds, "seeds", defaultSeeds, "how many seeds")
+	return cmd
+}
--- /dev/null
+++ b/simul/pkg/chart/chart.go
@@ -0,0 +1,29 @@
+// Package chart draws the worth of a play by second.
+package chart
+
+import (
+	"io"
+
+	"github.com/wcharczuk/go-chart/v2"
+
+	"rosemarygrade.dev/simul/pkg/world"
+)
+
+// Draw writes an SVG with the worth of each second.
+func Draw(w io.Writer, title string, r *world.Result) error {
+	var xs, worth []float64
+	for i, t := range r.Seconds() {
+		if t.Asked > 0 {
+			xs, worth = append(xs, float64(i)), append(worth, t.Worth())
+		}
+	}
+	c := chart.Chart{
+		Title: title,
+		XAxis: chart.XAxis{Name: "second"},
+		YAxis: chart.YAxis{Name: "worth", Range: &chart.ContinuousRange{Min: 0, Max: 1}},
+		Series: []chart.Series{
+			chart.ContinuousSeries{Name: "worth", XValues: xs, YValues: worth},
+		},
+	}
+	return c.Render(chart.SVG, w)
+}
--- /dev/null
+++ b/simul/pkg/world/patterns_test.go
@@ -0,0 +1,54 @@
+package world_test
+
+import (
+	"path/filepath"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"rosemarygrade.dev/simul/pkg/polic"
+	"rosemarygrade.dev/simul/pkg/scene"
+	"rosemarygrade.dev/simul/pkg/world"
+)
+
+// seeds is how many plays of a pattern are compared.
+const seeds = 2
+
+// assertBetter plays a pattern with two policies on the same seeds. The plain rule sends a request to the
+// next backend server when one is full.
+func assertBetter(t *testing.T, file, plain, better string) {
+	t.Helper()
+	t.Parallel()
+	s, err := scene.Load(filepath.Join("..", "..", "scenarios", file+".json"))
+	assert.NilError(t, err)
+	a, err := polic.Parse(plain)
+	assert.NilError(t, err)
+	b, err := polic.Parse(better)
+	assert.NilError(t, err)
+	sum := 0.0
+	for seed := range uint64(seeds) {
+		sum += world.Play(s, b, seed+1).Total().Worth() - world.Play(s, a, seed+1).Total().Worth()
+	}
+	assert.Assert(t, sum > 0, "%s is worth %+.3f against %s", better, sum/seeds, plain)
+}
+
+func TestRegionalWaves(t *testing.T)      { assertBetter(t, "regionalWaves", "spill", "default") }
+func TestBurstOfOneZone(t *testing.T)     { assertBetter(t, "burstOfOneZone", "spill", "default") }
+func TestColdStartUnderLoad(t *testing.T) { assertBetter(t, "coldStartUnderLoad", "spill", "default") }
+func TestCallersMove(t *testing.T)        { assertBetter(t, "callersMove", "spill", "default") }
+func TestFifthOfBackendsSlow(t *testing.T) {
+	assertBetter(t, "fifthOfBackendsSlow", "spill", "default")
+}
+func TestZoneColdAgain(t *testing.T)   { assertBetter(t, "zoneColdAgain", "spill", "default") }
+func TestHalfOfHostsGone(t *testing.T) { assertBetter(t, "halfOfHostsGone", "spill", "default") }
+func TestObjectsSpreadFreely(t *testing.T) {
+	assertBetter(t, "regionalWaves", "freeShare=0", "default")
+}
+func TestParkedAtBackends(t *testing.T) { assertBetter(t, "regionalWaves", "parked=0", "default") }
+func TestSameSeedSamePlay(t *testing.T) {
+	s, err := scene.Load(filepath.Join("..", "..", "scenarios", "burstOfOneZone.json"))
+	assert.NilError(t, err)
+	rules, err := polic.Parse("default")
+	assert.NilError(t, err)
+	assert.Equal(t, world.Play(s, rules, 3).Total(), world.Play(s, rules, 3).Total())
+}
