Explain each request that ends badly, count and time the rest

Decisions on a request are kept until its end and written as lines then: always when it ends badly, else for one id in 64, the same on every host. Lines of an event have a budget a second, the output never blocks. Counters and times stand at the metrics address.

--- a/edged/cmds/fleet_test.go
+++ b/edged/cmds/fleet_test.go
@@ -115,7 +115,7 @@
 func (f *fleet) start(n int) {
 	f.t.Helper()
 	ip := func(i int) string { return fmt.Sprintf("127.0.%d.%d", 10+f.next, 10+i) }
-	var ports [5]int
+	var ports [6]int
 	for i := range ports {
 		ports[i] = freePort(f.t, ip(0))
 	}
@@ -126,7 +126,7 @@
 		s := NewSettings()
 		s.Host, s.IP, s.DataCentre, s.Region, s.Regions = fmt.Sprintf("host-%d", i), ip(i), zones[i], regions[zones[i]], regions
 		s.CallerAddress, s.ReadyAddress, s.LookupAddress, s.AdminAddress = at(0), at(1), at(2), at(3)
-		s.PeerPorts, s.StoreAddress, s.RepeatSlack = []int{ports[4], ports[4] + 1}, f.address, 60
+		s.PeerPorts, s.StoreAddress, s.RepeatSlack, s.MetricsPort = []int{ports[4], ports[4] + 1}, f.address, 60, ports[5]
 		f.run(s)
 	}
 	f.ready()
--- a/edged/cmds/process.go
+++ b/edged/cmds/process.go
@@ -17,6 +17,7 @@
 	"rosemarygrade.dev/edged/pkg/follow"
 	"rosemarygrade.dev/edged/pkg/gate"
 	"rosemarygrade.dev/edged/pkg/mesh"
+	"rosemarygrade.dev/edged/pkg/meter"
 	"rosemarygrade.dev/edged/pkg/pick"
 	"rosemarygrade.dev/lib/pkg/logs"
 	"rosemarygrade.dev/lib/pkg/plan"
@@ -59,7 +60,7 @@
 	gate     *gate.Gate
 	source   plan.Source
 	stopping atomic.Bool
-	calls    atomic.Uint64
+	meter    *meter.Set
 }
 
 // View implements gate.Env.
@@ -86,7 +87,7 @@
 func newProcess(s *Settings, f *logs.Factory) (*process, error) {
 	p := &process{
 		settings: s, log: f.Layer("main"), state: follow.NewState(s.Regions, f.Layer("follow")),
-		pool: conns.NewPool(conns.Dialer(), adapt.EchoedID),
+		meter: meter.New(), pool: conns.NewPool(conns.Dialer(), adapt.EchoedID),
 	}
 	p.table = pick.New(pick.DefaultRules(), p)
 	p.reloaded.Store(s)
@@ -98,18 +99,19 @@
 		return nil, err
 	}
 	p.meetSeeds(time.Now(), s)
-	p.source = adapt.NewStore(s.StoreAddress, conns.Control, func(string) { p.calls.Add(1) })
+	p.source = adapt.NewStore(s.StoreAddress, conns.Control, func(string) { p.meter.Add(meter.StoreCalls, 1) })
 	repeats := pick.NewRepeats(pick.BudgetRule{
 		Window: seconds(s.RepeatWindowSeconds), Ratio: s.RepeatRatio, Slack: s.RepeatSlack,
 	})
-	p.gate = gate.New(p, adapt.Speech{}, p.pool, p.table, repeats, f.Layer("gate"))
+	p.gate = gate.New(p, adapt.Speech{}, p.pool, p.table, repeats, p.meter, f.Layer("gate"))
 	return p, nil
 }
 
 func run(ctx context.Context, s *Settings, path, layers string) error {
 	debug.SetGCPercent(gcPercent)
 	debug.SetMemoryLimit(int64(memoryUse * float64(s.MemoryMegabytes) * megabyte))
-	factory := logs.New(os.Stdout, layers, "process", "edged", "host", s.Host)
+	sink := logs.NewSink(os.Stdout)
+	factory := logs.New(sink, layers, "process", "edged", "host", s.Host).Bounded()
 	p, err := newProcess(s, factory)
 	if err != nil {
 		return err
@@ -124,6 +126,10 @@
 	g.HTTP(listeners[1], http.HandlerFunc(p.ready))
 	g.HTTP(listeners[2], http.HandlerFunc(p.lookup))
 	g.HTTP(listeners[3], p.mesh.Handler())
+	admin := p.adminHandler()
+	g.HTTP(listeners[4], admin)
+	g.HTTP(listeners[5], admin)
+	g.Go(sink.Run)
 	follower := follow.New(p.source, p.state, p.mesh, factory.Layer("follow"))
 	g.Go(follower.Probe)
 	g.Go(func(ctx context.Context) error { return p.reload(ctx, path) })
@@ -153,7 +159,9 @@
 
 func (p *process) listen() ([]net.Listener, error) {
 	peers := net.JoinHostPort(p.settings.IP, strconv.Itoa(p.settings.PeerPorts[0]))
-	return serve.Listen(p.settings.CallerAddress, p.settings.ReadyAddress, p.settings.LookupAddress, peers)
+	metrics := net.JoinHostPort(p.settings.IP, strconv.Itoa(p.settings.MetricsPort))
+	return serve.Listen(p.settings.CallerAddress, p.settings.ReadyAddress, p.settings.LookupAddress, peers,
+		p.settings.AdminAddress, metrics)
 }
 
 func serveFront(front *http.Server, l net.Listener) error {
@@ -206,6 +214,14 @@
 	p.state.Tick(now)
 	p.table.Keep(now, v)
 	p.pool.Sweep(now, v.Knows)
+	p.meter.Set(meter.ConnsOpened, int64(p.pool.Opened()))
+	p.meter.Set(meter.InFlight, p.gate.InFlight())
+	p.meter.Set(meter.Waiting, int64(p.table.Waiting()))
+	p.meter.Set(meter.LiveHosts, int64(len(p.mesh.Live(now))+1))
+	p.meter.Set(meter.Backends, int64(v.Backends()))
+	if v.Config() != nil {
+		p.meter.Set(meter.ConfigNumber, int64(v.Config().Version()))
+	}
 }
 
 func (p *process) isReady() bool { return !p.stopping.Load() && p.state.View().Config() != nil }
@@ -229,6 +245,7 @@
 		w.WriteHeader(http.StatusNotFound)
 		return
 	}
+	p.meter.Add(meter.Lookups, 1)
 	q := adapt.ReadLookup(r)
 	answer, lifetime := p.hostsFor(time.Now(), q.Region, q.DataCentre)
 	if len(answer) == 0 {
--- a/edged/cmds/settings.go
+++ b/edged/cmds/settings.go
@@ -28,6 +28,8 @@
 	AdminAddress string `json:"adminAddress"`
 	// PeerPorts are the first and the last port for the system's own processes.
 	PeerPorts []int `json:"peerPorts"`
+	// MetricsPort is the port at which counters and times are read.
+	MetricsPort int `json:"metricsPort"`
 	// Seeds are addresses of hosts to ask for others; they may be out of date.
 	Seeds []string `json:"seeds"`
 	// StoreAddress is the IP:port of the platform's store.
@@ -83,6 +85,7 @@
 	c.Addresses("seeds", s.Seeds)
 	c.Range("seeds", len(s.Seeds), 0, maxSeeds)
 	c.Range("memoryMegabytes", s.MemoryMegabytes, 1, maxMemory)
+	c.Range("metricsPort", s.MetricsPort, 1, maxPort)
 	c.Range("peerPorts", len(s.PeerPorts), portsAtLeast, portsAtLeast)
 	for _, p := range s.PeerPorts {
 		c.Range("peerPorts", p, 1, maxPort)
--- a/edged/pkg/gate/gate.go
+++ b/edged/pkg/gate/gate.go
@@ -16,7 +16,9 @@
 	"github.com/cespare/xxhash/v2"
 
 	"rosemarygrade.dev/edged/pkg/conns"
+	"rosemarygrade.dev/edged/pkg/meter"
 	"rosemarygrade.dev/edged/pkg/pick"
+	"rosemarygrade.dev/edged/pkg/trail"
 	"rosemarygrade.dev/lib/pkg/fault"
 	"rosemarygrade.dev/lib/pkg/heads"
 	"rosemarygrade.dev/lib/pkg/plan"
@@ -48,14 +50,17 @@
 	table    *pick.Table
 	splits   *pick.Splits
 	repeats  *pick.Repeats
+	meter    *meter.Set
 	log      *slog.Logger
 	inFlight atomic.Int64
 	stopping atomic.Bool
 }
 
 // New returns a gate.
-func New(env Env, speech heads.Speech, pool *conns.Pool, table *pick.Table, repeats *pick.Repeats, log *slog.Logger) *Gate {
-	return &Gate{env: env, speech: speech, pool: pool, table: table, splits: pick.NewSplits(), repeats: repeats, log: log}
+func New(env Env, speech heads.Speech, pool *conns.Pool, table *pick.Table, repeats *pick.Repeats, m *meter.Set, log *slog.Logger) *Gate {
+	return &Gate{
+		env: env, speech: speech, pool: pool, table: table, splits: pick.NewSplits(), repeats: repeats, meter: m, log: log,
+	}
 }
 
 // InFlight returns how many requests are under way.
@@ -71,7 +76,9 @@
 	service  string
 	query    pick.Query
 	deadline time.Time
+	start    time.Time
 	tried    []string
+	trail    *trail.Trail
 	// ran tells that a backend server may have run the request.
 	ran bool
 }
@@ -95,18 +102,31 @@
 		defer cancel()
 		a, o := g.run(ctx, x)
 		if a != nil {
+			g.finish(x, a.Head().Status >= http.StatusInternalServerError, "passed", "status", a.Head().Status)
 			g.pass(w, r, x, a)
 			return
 		}
 		own = o
 	}
 	if r.Context().Err() != nil {
-		g.log.Debug("caller left", "event", "left", "id", idOf(x), "sends", sends(x))
+		g.meter.Add(meter.CallerLeft, 1)
+		g.finish(x, true, "left", "ran", x != nil && x.ran)
 		panic(http.ErrAbortHandler)
 	}
 	g.answer(w, r, x, own)
 }
 
+// finish ends the trail of a request and writes it where it must be explained.
+func (g *Gate) finish(x *exchange, badly bool, event string, attrs ...any) {
+	if x == nil {
+		return
+	}
+	now := time.Now()
+	x.trail.Add(now, event, append(attrs, "sends", len(x.tried))...)
+	x.trail.Write(g.log, badly)
+	g.meter.Took(x.service, now.Sub(x.start))
+}
+
 // retryNoConfig is when a host that has just started may know its configuration.
 const retryNoConfig = 300 * time.Millisecond
 
@@ -123,7 +143,8 @@
 	if head.Patience > 0 {
 		limit = min(limit, head.Patience)
 	}
-	x := &exchange{route: route, deadline: now.Add(limit)}
+	x := &exchange{route: route, start: now, deadline: now.Add(limit), trail: trail.New(now, head.AttemptID)}
+	g.meter.Add(meter.Requests, 1)
 	body, err := readBody(w, r, v.Config().Limits().BodyBytes)
 	if err != nil {
 		var tooLong *http.MaxBytesError
@@ -140,6 +161,8 @@
 		Objective: now.Add(route.Objective()), Deadline: x.deadline,
 	}
 	g.repeats.Asked(now, x.service)
+	x.trail.Add(now, "admitted", "route", route.Name(), "service", x.service, "configVersion", v.Config().Version(),
+		"limitMillis", limit.Milliseconds(), "bytes", len(body))
 	return x, nil
 }
 
@@ -193,11 +216,12 @@
 		}
 		switch c := g.choose(ctx, now, x).(type) {
 		case pick.Chosen:
-			a, own, again := g.send(ctx, time.Now(), x, c.Backend)
+			a, own, again := g.send(ctx, time.Now(), x, c)
 			if !again {
 				return a, own
 			}
 		case pick.Full:
+			x.trail.Add(time.Now(), "noRoom", whyAttrs(c.Why)...)
 			return nil, g.turnedAway(x, spread(c.After), "no room")
 		case pick.None:
 			return nil, g.turnedAway(x, retryNoBackend, "no backend server")
@@ -222,6 +246,8 @@
 	if !ok {
 		return r
 	}
+	g.meter.Add(meter.Queued, 1)
+	x.trail.Add(now, "queued", "waiting", g.table.Waiting())
 	select {
 	case r := <-q.Ticket.Result():
 		return r
@@ -234,7 +260,10 @@
 }
 
 // send sends the request once. again tells that another send is allowed and wanted.
-func (g *Gate) send(ctx context.Context, now time.Time, x *exchange, b *plan.Backend) (a *conns.Answer, own *ownAnswer, again bool) {
+func (g *Gate) send(ctx context.Context, now time.Time, x *exchange, c pick.Chosen) (a *conns.Answer, own *ownAnswer, again bool) {
+	b := c.Backend
+	g.count(x, c)
+	x.trail.Add(now, "chosen", append(whyAttrs(c.Why), "backend", b.ID(), "dataCentre", b.DataCentre())...)
 	x.tried = append(x.tried, b.Key())
 	g.speech.SetServer(x.req.Header, x.deadline.Sub(now), b.ID())
 	a, err := g.pool.Send(ctx, b.Key(), b.Address(), &x.req)
@@ -254,7 +283,7 @@
 		a.Close(false)
 		x.ran = true
 		g.done(x, b, took, pick.Failed, heads.Load{})
-		g.log.Warn("answer not trusted", "event", "broken", "id", x.req.ID, "backend", b.ID(), "status", a.Head().Status)
+		x.trail.Add(time.Now(), "notTrusted", "backend", b.ID(), "status", a.Head().Status, "signed", head.Signed)
 		return g.again(x, "answer of another request")
 	case a.Head().Status >= http.StatusInternalServerError && x.route.Idempotent():
 		x.ran = true
@@ -267,6 +296,27 @@
 	return a, nil, false
 }
 
+// count counts a send.
+func (g *Gate) count(x *exchange, c pick.Chosen) {
+	g.meter.Add(meter.Sends, 1)
+	if len(x.tried) > 0 {
+		g.meter.Add(meter.Repeats, 1)
+	}
+	if c.Why.Warm {
+		g.meter.Add(meter.WarmSends, 1)
+	}
+	if c.Backend.Region() != g.env.Region() {
+		g.meter.Add(meter.FarSends, 1)
+	}
+}
+
+func whyAttrs(w pick.Why) []any {
+	return []any{
+		"load", w.Load, "slots", w.Slots, "warm", w.Warm, "slowness", w.Slowness,
+		"waitMillis", w.Wait.Milliseconds(), "workMillis", w.Work.Milliseconds(), "waiting", w.Waiting,
+	}
+}
+
 // retryShed is when a backend server that turned a request away may have room.
 const retryShed = 250 * time.Millisecond
 
@@ -274,7 +324,11 @@
 	now := time.Now()
 	g.table.Done(now, b, &x.query, took, o, load)
 	g.table.Drain(now, g.env.View(), b.Service())
-	g.log.Debug("sent", "event", "sent", "id", x.req.ID, "backend", b.ID(), "took", took, "outcome", int(o))
+	x.trail.Add(now, "sent", "backend", b.ID(), "tookMillis", took.Milliseconds(), "outcome", o.String(),
+		"slowness", load.Slowness, "running", load.Running, "waitingThere", load.Waiting)
+	if o == pick.Shed {
+		g.meter.Add(meter.NotRun, 1)
+	}
 }
 
 // failed judges a send that brought no whole answer.
@@ -288,7 +342,8 @@
 		return nil, g.late(x), false
 	}
 	g.done(x, b, took, pick.Failed, heads.Load{})
-	g.log.Info("send failed", "event", "failed", "id", x.req.ID, "backend", b.ID(), "unsent", unsent, "error", err)
+	g.meter.Add(meter.SendsLost, 1)
+	x.trail.Add(time.Now(), "sendFailed", "backend", b.ID(), "unsent", unsent, "error", err.Error())
 	if unsent && len(x.tried) < x.route.MaxAttempts() {
 		return nil, nil, true
 	}
@@ -336,22 +391,13 @@
 	return &ownAnswer{status: status, after: after, reason: reason}
 }
 
-func idOf(x *exchange) string {
-	if x == nil {
-		return ""
-	}
-	return x.req.ID
-}
-
-func sends(x *exchange) int {
-	if x == nil {
-		return 0
-	}
-	return len(x.tried)
-}
-
 func (g *Gate) answer(w http.ResponseWriter, r *http.Request, x *exchange, o *ownAnswer) {
-	g.log.Info("answered", "event", "answered", "id", idOf(x), "status", o.status, "reason", o.reason, "sends", sends(x))
+	counter := meter.Failed
+	if o.status == http.StatusServiceUnavailable {
+		counter = meter.Rejected
+	}
+	g.meter.Add(counter, 1)
+	g.finish(x, true, "answered", "status", o.status, "reason", o.reason, "retryAfterMillis", o.after.Milliseconds())
 	h := w.Header()
 	if o.after > 0 {
 		h.Set("Retry-After", strconv.FormatFloat(o.after.Seconds(), 'f', 3, 64))
@@ -366,6 +412,7 @@
 // pass passes a backend server's answer on. A long one that breaks breaks the caller's connection too.
 func (g *Gate) pass(w http.ResponseWriter, _ *http.Request, x *exchange, a *conns.Answer) {
 	head := a.Head()
+	g.meter.Add(meter.Served, 1)
 	h := w.Header()
 	for name, values := range head.Header {
 		if !hopHeaders[name] && g.speech.ToCaller(name) {
--- /dev/null
+++ b/edged/pkg/meter/meter.go
@@ -0,0 +1,120 @@
+// Package meter counts what a process does and how long requests take, for the metrics address.
+package meter
+
+import (
+	"expvar"
+	"fmt"
+	"io"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// Bounds of the histograms in microseconds.
+const (
+	minMicros = 1
+	maxMicros = int64(10 * time.Minute / time.Microsecond)
+	digits    = 2
+)
+
+// Counter names a counter.
+type Counter string
+
+// Counters. docs/METRICS.md explains each; a test compares.
+const (
+	Requests     Counter = "requests"
+	Served       Counter = "served"
+	Rejected     Counter = "rejected"
+	Failed       Counter = "failed"
+	CallerLeft   Counter = "callerLeft"
+	Queued       Counter = "queued"
+	Sends        Counter = "sends"
+	Repeats      Counter = "repeats"
+	NotRun       Counter = "notRun"
+	SendsLost    Counter = "sendsLost"
+	FarSends     Counter = "farSends"
+	WarmSends    Counter = "warmSends"
+	StoreCalls   Counter = "storeCalls"
+	Lookups      Counter = "lookups"
+	ConnsOpened  Counter = "connsOpened"
+	InFlight     Counter = "inFlight"
+	Waiting      Counter = "waiting"
+	LiveHosts    Counter = "liveHosts"
+	Backends     Counter = "backends"
+	ConfigNumber Counter = "configVersion"
+)
+
+// Counters returns all counters.
+func Counters() []Counter {
+	return []Counter{
+		Requests, Served, Rejected, Failed, CallerLeft, Queued, Sends, Repeats, NotRun, SendsLost, FarSends, WarmSends,
+		StoreCalls, Lookups, ConnsOpened, InFlight, Waiting, LiveHosts, Backends, ConfigNumber,
+	}
+}
+
+// Set is the counters and histograms of a process. It is safe for concurrent use.
+type Set struct {
+	counts map[Counter]*expvar.Int
+
+	mu    sync.Mutex
+	times map[string]*hdrhistogram.Histogram
+}
+
+// New returns a set in which all is zero.
+func New() *Set {
+	s := &Set{counts: map[Counter]*expvar.Int{}, times: map[string]*hdrhistogram.Histogram{}}
+	for _, c := range Counters() {
+		s.counts[c] = new(expvar.Int)
+	}
+	return s
+}
+
+// Add adds to a counter.
+func (s *Set) Add(c Counter, n int64) { s.counts[c].Add(n) }
+
+// Set sets a gauge.
+func (s *Set) Set(c Counter, n int64) { s.counts[c].Set(n) }
+
+// Value returns a counter.
+func (s *Set) Value(c Counter) int64 { return s.counts[c].Value() }
+
+// Took records how long a request of a service took until its answer.
+func (s *Set) Took(service string, d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	h := s.times[service]
+	if h == nil {
+		h = hdrhistogram.New(minMicros, maxMicros, digits)
+		s.times[service] = h
+	}
+	if err := h.RecordValue(min(maxMicros, max(minMicros, d.Microseconds()))); err != nil {
+		// The value is within the bounds of the histogram.
+		panic(err)
+	}
+}
+
+// WriteTo writes all as text, one name and value a line.
+func (s *Set) WriteTo(w io.Writer) (int64, error) {
+	const p50, p99 = 50, 99
+	var text []byte
+	for _, c := range Counters() {
+		text = fmt.Appendf(text, "%s %d\n", c, s.Value(c))
+	}
+	s.mu.Lock()
+	var names []string
+	for name := range s.times {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	for _, name := range names {
+		h := s.times[name]
+		text = fmt.Appendf(text, "answerMillis{service=%q,quantile=\"0.5\"} %d\n", name, h.ValueAtQuantile(p50)/1000)
+		text = fmt.Appendf(text, "answerMillis{service=%q,quantile=\"0.99\"} %d\n", name, h.ValueAtQuantile(p99)/1000)
+		text = fmt.Appendf(text, "answerMillis{service=%q,quantile=\"1\"} %d\n", name, h.Max()/1000)
+	}
+	s.mu.Unlock()
+	n, err := w.Write(text)
+	return int64(n), err
+}
--- a/edged/pkg/pick/option.go
+++ b/edged/pkg/pick/option.go
@@ -19,6 +19,7 @@
 	now  bool
 	wait time.Duration
 	work time.Duration
+	warm bool
 }
 
 // cost is the time until the answer, with the work counted more: it keeps others waiting.
@@ -66,7 +67,7 @@
 	slow := s.slow(now)
 	_, warm := s.warm[q.Object]
 	warm = warm && q.Sticky
-	o := option{server: s, work: time.Duration(float64(svc.usual(warm)) * slow)}
+	o := option{server: s, warm: warm, work: time.Duration(float64(svc.usual(warm)) * slow)}
 	if s.backend.Region() != q.Region {
 		o.wait = t.rules.FarTime
 	}
--- a/edged/pkg/pick/pick.go
+++ b/edged/pkg/pick/pick.go
@@ -32,13 +32,31 @@
 type Result interface{ result() }
 
 // Chosen names the backend server to send to now. Its slot is counted until Done.
-type Chosen struct{ Backend *plan.Backend }
+type Chosen struct {
+	Backend *plan.Backend
+	Why     Why
+}
+
+// Why tells what a decision was made from.
+type Why struct {
+	// Load is how many requests were known there, of Slots; Warm tells whether the object was.
+	Load, Slots int
+	Warm        bool
+	// Slowness is how much longer than usual work takes there.
+	Slowness float64
+	// Wait and Work are the times that were expected; Waiting is how many requests wait here.
+	Wait, Work time.Duration
+	Waiting    int
+}
 
 // Queued says that the request waits; its ticket receives the result.
 type Queued struct{ Ticket *Ticket }
 
 // Full says that the request can't be served in time, and after which time there may be room.
-type Full struct{ After time.Duration }
+type Full struct {
+	After time.Duration
+	Why   Why
+}
 
 // None says that no backend server is known for the service.
 type None struct{}
@@ -73,6 +91,20 @@
 	Left
 )
 
+// String returns the outcome's name in logs.
+func (o Outcome) String() string {
+	switch o {
+	case Answered:
+		return "answered"
+	case Shed:
+		return "notRun"
+	case Failed:
+		return "failed"
+	default:
+		return "left"
+	}
+}
+
 // Fleet is what the table asks of the host's view of the other hosts.
 type Fleet interface {
 	// Keeper tells whether this host is the one that sends to a cold backend server.
@@ -196,17 +228,27 @@
 	svc := t.service(q.Service)
 	o, ok := t.best(now, v, svc, &q)
 	if ok && o.now {
+		why := t.why(now, svc, o)
 		t.start(now, v, svc, o.server, &q)
-		return Chosen{Backend: o.server.backend}
+		return Chosen{Backend: o.server.backend, Why: why}
 	}
-	if verdict, full := svc.judge(now, &q, o, ok, t.rules.LateShare); full {
-		return verdict
+	if after, full := svc.judge(now, &q, o, ok, t.rules.LateShare); full {
+		return Full{After: after, Why: t.why(now, svc, o)}
 	}
 	ticket := &Ticket{query: q, since: now, result: make(chan Result, 1)}
 	svc.enqueue(ticket)
 	return Queued{Ticket: ticket}
 }
 
+// why tells what an option was made from.
+func (t *Table) why(now time.Time, svc *service, o option) Why {
+	w := Why{Wait: o.wait, Work: o.work, Waiting: len(svc.queue), Warm: o.warm}
+	if o.server != nil {
+		w.Load, w.Slots, w.Slowness = t.load(now, o.server), o.server.backend.Slots(), o.server.slow(now)
+	}
+	return w
+}
+
 // Cancel takes a request that its caller gave up out of its queue. If it was chosen meanwhile, it returns
 // the choice, which must be ended by Done.
 func (t *Table) Cancel(k *Ticket) *plan.Backend {
@@ -271,12 +313,13 @@
 		}
 		o, ok := t.best(now, v, svc, &k.query)
 		if ok && o.now {
+			why := t.why(now, svc, o)
 			t.start(now, v, svc, o.server, &k.query)
-			k.result <- Chosen{Backend: o.server.backend}
+			k.result <- Chosen{Backend: o.server.backend, Why: why}
 			continue
 		}
 		if left := k.query.Deadline.Sub(now); left < svc.least() || (!ok && len(v.Usable(k.query.Service)) == 0) {
-			k.result <- Full{After: svc.wait(now, len(svc.queue))}
+			k.result <- Full{After: svc.wait(now, len(svc.queue)), Why: t.why(now, svc, o)}
 			continue
 		}
 		stay = append(stay, k)
--- a/edged/pkg/pick/queue.go
+++ b/edged/pkg/pick/queue.go
@@ -41,21 +41,21 @@
 // least returns the shortest time that a request takes at best.
 func (s *service) least() time.Duration { return s.warm.value(firstWarm) / 2 }
 
-// judge turns a request away that would wait for too long.
-func (s *service) judge(now time.Time, q *Query, o option, ok bool, lateShare float64) (Result, bool) {
+// judge tells whether a request would wait for too long, and after which time there may be room.
+func (s *service) judge(now time.Time, q *Query, o option, ok bool, lateShare float64) (time.Duration, bool) {
 	wait := s.wait(now, s.ahead(q))
 	finish := now.Add(wait + s.warm.value(firstWarm))
 	if ok {
 		finish = now.Add(max(wait, o.wait) + o.work)
 	}
 	if finish.Before(q.Objective) {
-		return nil, false
+		return 0, false
 	}
 	late := time.Duration(lateShare * float64(q.Deadline.Sub(now)))
 	if finish.Before(q.Deadline) && wait <= late {
-		return nil, false
+		return 0, false
 	}
-	return Full{After: min(retryMost, max(retryLeast, wait))}, true
+	return min(retryMost, max(retryLeast, wait)), true
 }
 
 // ahead returns how many of those that wait go before a request.
--- a/lib/pkg/logs/logs.go
+++ b/lib/pkg/logs/logs.go
@@ -14,6 +14,7 @@
 	out    io.Writer
 	layers []string
 	attrs  []any
+	budget *budget
 }
 
 // New returns a factory. Layers is a comma-separated list of the layers whose debug lines are
@@ -22,12 +23,21 @@
 	return &Factory{out: out, layers: strings.Split(layers, ","), attrs: attrs}
 }
 
+// Bounded makes the lines of each event stay within a budget a second.
+func (f *Factory) Bounded() *Factory {
+	f.budget = &budget{}
+	return f
+}
+
 // Layer returns the logger of a layer.
 func (f *Factory) Layer(name string) *slog.Logger {
 	level := slog.LevelInfo
 	if slices.Contains(f.layers, name) || slices.Contains(f.layers, "all") {
 		level = slog.LevelDebug
 	}
-	h := slog.NewTextHandler(f.out, &slog.HandlerOptions{Level: level})
+	var h slog.Handler = slog.NewTextHandler(f.out, &slog.HandlerOptions{Level: level})
+	if f.budget != nil {
+		h = limited{Handler: h, budget: f.budget}
+	}
 	return slog.New(h).With(f.attrs...).With("layer", name)
 }
