--- /dev/null
+++ b/edged/pkg/conns/conns_test.go
@@ -0,0 +1,158 @@
+package conns
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"rosemarygrade.dev/lib/pkg/fault"
+)
+
+const idHeader = "X-Id"
+
+func echo(h http.Header) string { return h.Get(idHeader) }
+
+// server answers each request on a connection by a function, which tells whether the connection stays.
+func server(t *testing.T, answer func(c net.Conn, r *http.Request, n int) bool) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = c.Close() }()
+				r := bufio.NewReader(c)
+				for n := 0; ; n++ {
+					req, err := http.ReadRequest(r)
+					if err != nil {
+						return
+					}
+					if _, err := io.Copy(io.Discard, req.Body); err != nil || !answer(c, req, n) {
+						return
+					}
+				}
+			}()
+		}
+	}()
+	return l.Addr().String()
+}
+
+func say(text string) func(c net.Conn, r *http.Request, n int) bool {
+	return func(c net.Conn, _ *http.Request, _ int) bool {
+		_, err := io.WriteString(c, text)
+		return err == nil && !strings.Contains(text, "close")
+	}
+}
+
+func send(t *testing.T, p *Pool, address, id string) (*Answer, error) {
+	t.Helper()
+	return p.Send(t.Context(), "target", address, &Request{ID: id, Method: "GET", URI: "/", Host: "h", Header: http.Header{}})
+}
+
+func assertKind(t *testing.T, err error, want Kind) {
+	t.Helper()
+	assert.Equal(t, fault.KindOf[Kind](err), want, "%v", err)
+}
+
+func TestAnswers(t *testing.T) {
+	whole := "HTTP/1.1 200 OK\r\nX-Id: a\r\nContent-Length: 2\r\n\r\nok"
+	foreign := strings.Replace(whole, "X-Id: a", "X-Id: z", 1)
+	rows := []struct {
+		name, text string
+		kind       Kind
+	}{
+		{"whole", whole, ""},
+		{"in chunks", "HTTP/1.1 200 OK\r\nX-Id: a\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", ""},
+		{"without a length, to the end of the connection", "HTTP/1.1 200 OK\r\nX-Id: a\r\nConnection: close\r\n\r\nok", ""},
+		{"after a late answer to another request", foreign + whole, ""},
+		{"only answers to others", foreign + foreign + foreign, KindBroken},
+		{"cut short", "HTTP/1.1 200 OK\r\nX-Id: a\r\nContent-Length: 9\r\nConnection: close\r\n\r\nok", KindBroken},
+		{"no answer at all", "", KindLost},
+		{"bytes that are no answer", "\x00hello\r\n\r\n", KindBroken},
+	}
+	for _, r := range rows {
+		t.Run(r.name, func(t *testing.T) {
+			address := server(t, func(c net.Conn, _ *http.Request, _ int) bool {
+				_, _ = io.WriteString(c, r.text)
+				return false
+			})
+			a, err := send(t, NewPool(Dialer(), echo), address, "a")
+			if r.kind != "" {
+				assertKind(t, err, r.kind)
+				return
+			}
+			assert.NilError(t, err)
+			assert.Equal(t, string(a.Body()), "ok")
+		})
+	}
+	t.Run("nobody listens", func(t *testing.T) {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		assert.NilError(t, err)
+		address := l.Addr().String()
+		assert.NilError(t, l.Close())
+		_, err = send(t, NewPool(Dialer(), echo), address, "a")
+		assertKind(t, err, KindUnsent)
+	})
+}
+
+func TestKeeping(t *testing.T) {
+	ok := "HTTP/1.1 200 OK\r\nX-Id: a\r\nContent-Length: 2\r\n\r\nok"
+	twice := func(t *testing.T, answer func(c net.Conn, r *http.Request, n int) bool, between func()) uint64 {
+		t.Helper()
+		address := server(t, answer)
+		p := NewPool(Dialer(), echo)
+		for range 2 {
+			_, err := send(t, p, address, "a")
+			assert.NilError(t, err)
+			if between != nil {
+				between()
+			}
+		}
+		return p.Opened()
+	}
+	t.Run("a connection is used again", func(t *testing.T) { assert.Equal(t, twice(t, say(ok), nil), uint64(1)) })
+	t.Run("not one that the backend server closes", func(t *testing.T) {
+		closing := "HTTP/1.1 200 OK\r\nX-Id: a\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok"
+		assert.Equal(t, twice(t, say(closing), nil), uint64(2))
+	})
+	t.Run("not one with bytes that belong to no request", func(t *testing.T) {
+		stray := func(c net.Conn, r *http.Request, n int) bool { return say(ok+"stray")(c, r, n) }
+		assert.Equal(t, twice(t, stray, func() { time.Sleep(50 * time.Millisecond) }), uint64(2))
+	})
+	t.Run("not one that was closed meanwhile", func(t *testing.T) {
+		once := func(c net.Conn, r *http.Request, n int) bool {
+			say(ok)(c, r, n)
+			return false
+		}
+		assert.Equal(t, twice(t, once, func() { time.Sleep(50 * time.Millisecond) }), uint64(2))
+	})
+	t.Run("not one whose time is over", func(t *testing.T) {
+		short := "HTTP/1.1 200 OK\r\nX-Id: a\r\nKeep-Alive: timeout=1\r\nContent-Length: 2\r\n\r\nok"
+		assert.Equal(t, twice(t, say(short), nil), uint64(2))
+	})
+	t.Run("a cancelled request closes its connection", func(t *testing.T) {
+		gone := make(chan struct{})
+		address := server(t, func(c net.Conn, _ *http.Request, _ int) bool {
+			_, _ = c.Read(make([]byte, 1))
+			close(gone)
+			return false
+		})
+		ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+		defer cancel()
+		_, err := NewPool(Dialer(), echo).Send(ctx, "target", address, &Request{ID: "a", Method: "GET", URI: "/", Host: "h"})
+		assertKind(t, err, KindLost)
+		<-gone
+	})
+}
