--- a/edged/cmds/fleet_test.go
+++ b/edged/cmds/fleet_test.go
@@ -37,44 +37,19 @@
 	done     chan error
 }
 
+// Times of callers and of the tests' patience.
 const (
-	configKind = "config"
-	serverKind = "servers"
-	drainKind  = "evacuations"
-	waitMost   = 15 * time.Second
+	patience = 4 * time.Second
+	waitMost = 15 * time.Second
 )
 
-// route is one row of a configuration.
-type route struct {
-	prefix, kind, service string
-	timeout               float64
-	homes, split          string
-}
-
-func configOf(version int, routes ...route) string {
-	var rows []string
-	for i, r := range routes {
-		service, split, homes := fmt.Sprintf("%q", r.service), "null", "[]"
-		if r.split != "" {
-			service, split = "null", r.split
-		}
-		if r.homes != "" {
-			homes = r.homes
-		}
-		rows = append(rows, fmt.Sprintf(`["r%d","web.example",%q,%q,%g,0.4,1,%s,2,true,%s,%s]`, i, r.prefix, r.kind, r.timeout, service, homes, split))
-	}
-	return fmt.Sprintf(`{"version":%d,"routes":{"columns":["name","host","path_prefix","type","timeout_s","slo_s","priority","service","max_attempts","sticky","home_regions","traffic_split"],"rows":[%s]},
-"services":{"columns":["name","health_path","max_conns","protocol","tls","warmup_s","cold_per_s"],"rows":[["alpha","/health",390,"h1",false,3,15],["beta","/health",390,"h1",false,3,15]]},
-"limits":{"max_header_bytes":16384,"max_body_bytes":1048576,"header_timeout_s":3,"idle_timeout_s":15}}`, version, strings.Join(rows, ","))
-}
-
 func baseConfig(version int) string {
-	return configOf(version,
-		route{prefix: "/read/", kind: "safe", service: "alpha", timeout: 5},
-		route{prefix: "/write/", kind: "unsafe", service: "alpha", timeout: 5},
-		route{prefix: "/short/", kind: "unsafe", service: "alpha", timeout: 0.3},
-		route{prefix: "/home/", kind: "safe", service: "alpha", timeout: 5, homes: `["north"]`},
-		route{prefix: "/mix/", kind: "safe", timeout: 5, split: `[{"service":"alpha","weight":75},{"service":"beta","weight":25}]`},
+	return stand.Config(version,
+		stand.Route{Prefix: "/read/", Idempotent: true, Service: "alpha", Timeout: 5},
+		stand.Route{Prefix: "/write/", Service: "alpha", Timeout: 5},
+		stand.Route{Prefix: "/short/", Service: "alpha", Timeout: 0.3},
+		stand.Route{Prefix: "/home/", Idempotent: true, Service: "alpha", Timeout: 5, Homes: []string{"north"}},
+		stand.Route{Prefix: "/mix/", Idempotent: true, Timeout: 5, Split: map[string]int{"alpha": 75, "beta": 25}},
 	)
 }
 
@@ -84,7 +59,7 @@
 	server := httptest.NewServer(store)
 	t.Cleanup(server.Close)
 	f := &fleet{t: t, store: store, address: server.Listener.Addr().String(), targets: map[string]*stand.Target{}}
-	store.Set(configKind, "main", baseConfig(1))
+	store.Set(stand.KindConfig, stand.NameConfig, baseConfig(1))
 	f.target("i-a1", "alpha", "north-a")
 	f.target("i-a2", "alpha", "south-a")
 	f.target("i-b1", "beta", "north-a")
@@ -97,7 +72,7 @@
 	assert.NilError(f.t, err)
 	f.t.Cleanup(x.Close)
 	f.targets[id] = x
-	f.store.Set(serverKind, id, x.Entry(service, zone, "ready", 4))
+	f.store.Set(stand.KindBackends, id, x.Entry(service, zone, "ready", 4))
 	return x
 }
 
@@ -202,10 +177,8 @@
 	f.t.Helper()
 	r, err := http.NewRequestWithContext(ctx, method, "http://"+h.settings.CallerAddress+path, strings.NewReader(body))
 	assert.NilError(f.t, err)
-	r.Host = "web.example"
-	r.Header.Set("Rosemarygrade-Attempt-Id", attempt)
-	r.Header.Set("Rosemarygrade-Affinity-Key", "7")
-	r.Header.Set("Rosemarygrade-Deadline-Ms", "4000")
+	r.Host = stand.Host
+	stand.SetCaller(r.Header, attempt, "7", patience)
 	resp, err := http.DefaultTransport.RoundTrip(r)
 	if err != nil {
 		return answer{err: err}
@@ -234,7 +207,7 @@
 	assert.NilError(t, a.err)
 	assert.Equal(t, a.status, http.StatusOK)
 	assert.Equal(t, a.body, "hello "+body)
-	assert.Equal(t, a.header.Get("Rosemarygrade-Response-Stamp"), "s")
+	assert.Equal(t, stand.Stamp(a.header), "s")
 }
 
 func TestServe(t *testing.T) {
@@ -250,8 +223,9 @@
 		for _, x := range f.targets {
 			if head, got := x.Seen("s2"); head != nil {
 				assert.Equal(t, got, body)
-				assert.Assert(t, head.Get("Rosemarygrade-Deadline-Ms") <= "4000")
-				assert.Assert(t, head.Get("Rosemarygrade-Expect-Instance") != "")
+				left, meant := stand.Left(head)
+				assert.Assert(t, left > 0 && left <= patience)
+				assert.Assert(t, meant != "")
 			}
 		}
 	})
@@ -396,24 +370,24 @@
 		})
 	}
 	t.Run("a drained data centre gets no work", func(t *testing.T) {
-		f.store.Set(drainKind, "south-a", "{}")
+		f.store.Set(stand.KindDrains, "south-a", "{}")
 		gone("i-a2")
-		f.store.Remove(drainKind, "south-a")
+		f.store.Remove(stand.KindDrains, "south-a")
 	})
 	t.Run("a leaving backend server gets no work", func(t *testing.T) {
-		f.store.Set(serverKind, "i-a1", f.targets["i-a1"].Entry("alpha", "north-a", "draining", 4))
+		f.store.Set(stand.KindBackends, "i-a1", f.targets["i-a1"].Entry("alpha", "north-a", "draining", 4))
 		gone("i-a1")
-		f.store.Set(serverKind, "i-a1", f.targets["i-a1"].Entry("alpha", "north-a", "ready", 4))
+		f.store.Set(stand.KindBackends, "i-a1", f.targets["i-a1"].Entry("alpha", "north-a", "ready", 4))
 	})
 	t.Run("unreadable entries and configurations change nothing", func(t *testing.T) {
-		f.store.Set(serverKind, "i-odd", `{"service":7,"state":"ready"}`)
-		f.store.Set(configKind, "main", `{"version":2,"routes":{"columns":["name"],"rows":[["x","y"]]}}`)
-		f.store.Set(configKind, "main", configOf(2, route{prefix: "/read", kind: "safe", service: "alpha", timeout: 1}))
+		f.store.Set(stand.KindBackends, "i-odd", `{"service":7,"state":"ready"}`)
+		f.store.Set(stand.KindConfig, stand.NameConfig, `{"version":2,"routes":{"columns":["name"],"rows":[["x","y"]]}}`)
+		f.store.Set(stand.KindConfig, stand.NameConfig, stand.Config(2, stand.Route{Prefix: "/read", Idempotent: true, Service: "alpha", Timeout: 1}))
 		time.Sleep(300 * time.Millisecond)
 		assertServed(t, f.call(h, "GET", "/read/x", "", "d1"), "")
 	})
 	t.Run("a new configuration is in force on every host and never goes back", func(t *testing.T) {
-		f.store.Set(configKind, "main", configOf(9, route{prefix: "/new/", kind: "safe", service: "beta", timeout: 5}))
+		f.store.Set(stand.KindConfig, stand.NameConfig, stand.Config(9, stand.Route{Prefix: "/new/", Idempotent: true, Service: "beta", Timeout: 5}))
 		f.eventually("new route on all hosts", func() bool {
 			for _, x := range f.hosts {
 				if f.call(x, "GET", "/new/x", "", "d2").status != http.StatusOK {
@@ -422,7 +396,7 @@
 			}
 			return true
 		})
-		f.store.Set(configKind, "main", baseConfig(8))
+		f.store.Set(stand.KindConfig, stand.NameConfig, baseConfig(8))
 		time.Sleep(300 * time.Millisecond)
 		assert.Equal(t, f.call(h, "GET", "/read/x", "", "d3").status, http.StatusNotFound)
 	})
@@ -430,7 +404,7 @@
 
 func TestStoreTroubles(t *testing.T) {
 	next := func(v int) string {
-		return configOf(v, route{prefix: fmt.Sprintf("/v%d/", v), kind: "safe", service: "alpha", timeout: 5})
+		return stand.Config(v, stand.Route{Prefix: fmt.Sprintf("/v%d/", v), Idempotent: true, Service: "alpha", Timeout: 5})
 	}
 	inForce := func(f *fleet, v int) {
 		f.t.Helper()
@@ -448,18 +422,18 @@
 	t.Run("hosts serve while the store is away, and follow after it", func(t *testing.T) {
 		f.store.SetAway(true)
 		assertServed(t, f.call(f.hosts[0], "GET", "/read/x", "", "o1"), "")
-		f.store.Set(configKind, "main", next(20))
+		f.store.Set(stand.KindConfig, stand.NameConfig, next(20))
 		f.store.SetAway(false)
 		inForce(f, 20)
 	})
 	t.Run("a watch that hears nothing is found by the store's revision", func(t *testing.T) {
 		f.store.SetDeaf(true)
-		f.store.Set(configKind, "main", next(21))
+		f.store.Set(stand.KindConfig, stand.NameConfig, next(21))
 		inForce(f, 21)
 		f.store.SetDeaf(false)
 	})
 	t.Run("a change after lost history is found", func(t *testing.T) {
-		f.store.Set(configKind, "main", next(22))
+		f.store.Set(stand.KindConfig, stand.NameConfig, next(22))
 		inForce(f, 22)
 	})
 	t.Run("a host that starts while the store is away learns from its peers", func(t *testing.T) {
--- a/edged/pkg/conns/conns.go
+++ b/edged/pkg/conns/conns.go
@@ -137,7 +137,7 @@
 	if err != nil {
 		return fail(err)
 	}
-	resp, err := p.receive(c, req)
+	resp, err := p.receive(c, req) //nolint:bodyclose // The body ends with the connection, which is closed or kept as a whole.
 	if err != nil {
 		return fail(err)
 	}
@@ -200,7 +200,8 @@
 	}
 	if len(req.Body) > 0 || req.Method == http.MethodPost || req.Method == http.MethodPut || req.Method == http.MethodPatch {
 		b = append(b, "Content-Length: "...)
-		b = strconv.AppendInt(b, int64(len(req.Body)), 10)
+		const decimal = 10
+		b = strconv.AppendInt(b, int64(len(req.Body)), decimal)
 		b = append(b, "\r\n"...)
 	}
 	return append(b, "\r\n"...)
--- a/edged/pkg/follow/state.go
+++ b/edged/pkg/follow/state.go
@@ -252,56 +252,58 @@
 	if had && c.Revision < old.Revision {
 		return false
 	}
-	switch item := c.Item.(type) {
-	case plan.Gone:
-		delete(top.items, c.Name)
-		if had {
-			top.buried(c)
-		}
-		s.lapse(now, c.Name, old)
-		if had {
-			s.log.Info("declaration removed", "event", "removed", "topic", string(t), "name", c.Name, "revision", c.Revision)
-		}
+	if _, gone := c.Item.(plan.Gone); gone {
+		s.remove(now, t, top, c)
 		return had
+	}
+	item, ok := s.accept(t, old, c)
+	if !ok || (had && c.Revision == old.Revision) {
+		return false
+	}
+	c.Item = item
+	top.items[c.Name] = c
+	s.log.Info("declaration", "event", "declared", "topic", string(t), "name", c.Name, "revision", c.Revision)
+	return true
+}
+
+// accept tells whether a declaration comes into force, and in which form.
+func (s *State) accept(t plan.Topic, old, c plan.Change) (plan.Item, bool) {
+	switch item := c.Item.(type) {
 	case *plan.Config:
 		if s.config != nil && item.Version() <= s.config.Version() {
-			return false
+			return nil, false
 		}
 		s.config = item
 		s.log.Info("configuration in force", "event", "config", "version", item.Version(), "revision", c.Revision)
 	case plan.Unreadable:
 		s.log.Warn("declaration unreadable", "event", "unreadable", "topic", string(t), "name", c.Name, "error", item.Err)
-		if t == plan.TopicConfig {
-			return false
-		}
+		return item, t != plan.TopicConfig
 	case plan.BackendSpec:
 		delete(s.held, c.Name)
-		if had && !restarted(old, item) {
-			c.Item = keepCold(old, item)
-		}
-	case plan.Drained, plan.Member:
-	}
-	if had && c.Revision == old.Revision {
-		return false
-	}
-	top.items[c.Name] = c
-	if t != plan.TopicConfig {
-		s.log.Info("declaration", "event", "declared", "topic", string(t), "name", c.Name, "revision", c.Revision)
+		return keepCold(old, item), true
+	case plan.Drained, plan.Member, plan.Gone:
 	}
-	return true
+	return c.Item, true
 }
 
-// restarted tells whether the old entry is of another incarnation.
-func restarted(old plan.Change, item plan.BackendSpec) bool {
-	spec, ok := old.Item.(plan.BackendSpec)
-	return !ok || spec.Born != item.Born
+// remove takes a removal.
+func (s *State) remove(now time.Time, t plan.Topic, top *topic, c plan.Change) {
+	old, had := top.items[c.Name]
+	if !had {
+		return
+	}
+	delete(top.items, c.Name)
+	top.buried(c)
+	s.lapse(now, c.Name, old)
+	s.log.Info("declaration removed", "event", "removed", "topic", string(t), "name", c.Name, "revision", c.Revision)
 }
 
-// keepCold keeps the earlier end of a cold time: the entry tells what was left when it was written, not
-// when it is read again.
+// keepCold keeps the earlier end of a cold time within an incarnation: the entry tells what was left when it
+// was written, not when it is read again.
 func keepCold(old plan.Change, item plan.BackendSpec) plan.BackendSpec {
 	spec, ok := old.Item.(plan.BackendSpec)
-	if ok && old.Revision > 0 && !spec.ColdUntil.IsZero() && spec.ColdUntil.Before(item.ColdUntil) && spec.Leaving == item.Leaving {
+	same := ok && spec.Born == item.Born && spec.Leaving == item.Leaving
+	if same && !spec.ColdUntil.IsZero() && spec.ColdUntil.Before(item.ColdUntil) {
 		item.ColdUntil = spec.ColdUntil
 	}
 	return item
--- a/edged/pkg/gate/gate.go
+++ b/edged/pkg/gate/gate.go
@@ -409,7 +409,7 @@
 	w.WriteHeader(o.status)
 }
 
-// pass passes a backend server's answer on. A long one that breaks breaks the caller's connection too.
+// pass passes a backend server's answer on. Where a long one ends early, the caller's connection does too.
 func (g *Gate) pass(w http.ResponseWriter, _ *http.Request, x *exchange, a *conns.Answer) {
 	head := a.Head()
 	g.meter.Add(meter.Served, 1)
--- a/edged/pkg/mesh/mesh.go
+++ b/edged/pkg/mesh/mesh.go
@@ -249,13 +249,7 @@
 	if h.incarnation != b.Incarnation || !m.alive(now, h) {
 		m.log.Info("host alive", "event", "alive", "host", b.Name, "dataCentre", b.DataCentre)
 	}
-	h.name, h.dataCentre, h.region = b.Name, b.DataCentre, m.self.Regions[b.DataCentre]
-	h.incarnation, h.seq, h.heard, h.serving, h.store = b.Incarnation, b.Seq, now, b.Serving, b.Store
-	if b.Store == storeFails {
-		h.storeUntil = now.Add(failedFor)
-	} else if b.Store == storeAnswers {
-		h.storeUntil = time.Time{}
-	}
+	h.hear(now, b, m.self.Regions[b.DataCentre])
 	for _, p := range b.Peers {
 		m.meet(now, p)
 	}
@@ -271,12 +265,20 @@
 	}
 	m.table.Report(now, b.Name, unpackWork(b.Work))
 	if pull {
-		go func() {
-			m.pull(ctx, address)
-			m.mu.Lock()
-			delete(m.pulling, address)
-			m.mu.Unlock()
-		}()
+		go m.pull(ctx, address)
+	}
+}
+
+// hear takes what a host says of itself.
+func (h *Host) hear(now time.Time, b *beat, region string) {
+	h.name, h.dataCentre, h.region = b.Name, b.DataCentre, region
+	h.incarnation, h.seq, h.heard, h.serving, h.store = b.Incarnation, b.Seq, now, b.Serving, b.Store
+	switch b.Store {
+	case storeFails:
+		h.storeUntil = now.Add(failedFor)
+	case storeAnswers:
+		h.storeUntil = time.Time{}
+	case storeUntried:
 	}
 }
 
--- a/edged/pkg/mesh/pull.go
+++ b/edged/pkg/mesh/pull.go
@@ -53,8 +53,9 @@
 			}
 		}
 		now := time.Now()
-		var out []snapshot
-		for _, s := range m.state.Snapshots(have) {
+		known := m.state.Snapshots(have)
+		out := make([]snapshot, 0, len(known))
+		for _, s := range known {
 			out = append(out, pack(now, s))
 		}
 		w.Header().Set("Content-Type", "application/json")
@@ -129,6 +130,9 @@
 	if err := m.pullFrom(ctx, address); err != nil {
 		m.log.Warn("pull failed", "event", "pull", "peer", address, "error", err)
 	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	delete(m.pulling, address)
 }
 
 func (m *Mesh) pullFrom(ctx context.Context, address string) error {
--- a/edged/pkg/meter/meter.go
+++ b/edged/pkg/meter/meter.go
@@ -97,22 +97,25 @@
 
 // WriteTo writes all as text, one name and value a line.
 func (s *Set) WriteTo(w io.Writer) (int64, error) {
-	const p50, p99 = 50, 99
+	const (
+		p50, p99       = 50, 99
+		microsPerMilli = 1000
+	)
 	var text []byte
 	for _, c := range Counters() {
 		text = fmt.Appendf(text, "%s %d\n", c, s.Value(c))
 	}
 	s.mu.Lock()
-	var names []string
+	names := make([]string, 0, len(s.times))
 	for name := range s.times {
 		names = append(names, name)
 	}
 	slices.Sort(names)
 	for _, name := range names {
 		h := s.times[name]
-		text = fmt.Appendf(text, "answerMillis{service=%q,quantile=\"0.5\"} %d\n", name, h.ValueAtQuantile(p50)/1000)
-		text = fmt.Appendf(text, "answerMillis{service=%q,quantile=\"0.99\"} %d\n", name, h.ValueAtQuantile(p99)/1000)
-		text = fmt.Appendf(text, "answerMillis{service=%q,quantile=\"1\"} %d\n", name, h.Max()/1000)
+		text = fmt.Appendf(text, "answerMillis{service=%q,quantile=\"0.5\"} %d\n", name, h.ValueAtQuantile(p50)/microsPerMilli)
+		text = fmt.Appendf(text, "answerMillis{service=%q,quantile=\"0.99\"} %d\n", name, h.ValueAtQuantile(p99)/microsPerMilli)
+		text = fmt.Appendf(text, "answerMillis{service=%q,quantile=\"1\"} %d\n", name, h.Max()/microsPerMilli)
 	}
 	s.mu.Unlock()
 	n, err := w.Write(text)
--- a/edged/pkg/pick/option.go
+++ b/edged/pkg/pick/option.go
@@ -104,7 +104,7 @@
 		if b.Cold(now) && (now.Before(s.coldNext) || !t.fleet.Keeper(b)) {
 			continue
 		}
-		rank := 0.0
+		var rank float64
 		if q.Sticky {
 			rank = sh.rank(q.Region, q.Object, b)
 		} else {
@@ -133,12 +133,12 @@
 	const (
 		mul1, mul2 = 0xff51afd7ed558ccd, 0xc4ceb9fe1a85ec53
 		shift      = 33
-		kept       = 11
+		bits, kept = 64, 11
 	)
 	h ^= h >> shift
 	h *= mul1
 	h ^= h >> shift
 	h *= mul2
 	h ^= h >> shift
-	return float64(h>>kept) / (1 << (64 - kept))
+	return float64(h>>kept) / (1 << (bits - kept))
 }
--- a/edged/pkg/pick/rules.go
+++ b/edged/pkg/pick/rules.go
@@ -14,7 +14,7 @@
 	SpillUse float64
 	// Parked is which part of its slots may wait at a backend server, to hide the way there; from trials.
 	Parked float64
-	// WorkWeight is how often the work counts beside the wait: work keeps others waiting; from trials.
+	// WorkWeight is how often the work counts beside the wait; from trials.
 	WorkWeight float64
 	// LateShare is which part of its time a request may wait that can't meet its objective; from trials.
 	LateShare float64
@@ -29,9 +29,9 @@
 	return Rules{
 		Homes:      2,
 		FreeShare:  0.25,
-		SpillUse:   0.6,
-		Parked:     0.34,
-		WorkWeight: 2,
+		SpillUse:   0.4,
+		Parked:     0.67,
+		WorkWeight: 1,
 		LateShare:  0.25,
 		Hold:       true,
 		FarTime:    50 * time.Millisecond,
--- a/simul/pkg/scene/scene.go
+++ b/simul/pkg/scene/scene.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"encoding/json"
 	"os"
+	"slices"
 
 	"rosemarygrade.dev/lib/pkg/fault"
 )
@@ -127,11 +128,11 @@
 		ok   bool
 		text string
 	}{
-		{s.Seconds > 0 && s.ReportMillis > 0 && s.FarReportMillis > 0, "seconds, reportMillis and farReportMillis must be above 0"},
+		{min(s.Seconds, s.ReportMillis, s.FarReportMillis) > 0, "seconds, reportMillis and farReportMillis must be above 0"},
 		{len(s.DataCentres) > 0, "dataCentres must not be empty"},
-		{b.Slots > 0 && b.WarmMost > 0 && b.Queue >= 0, "backend needs slots and warmMost"},
+		{min(b.Slots, b.WarmMost, b.Queue+1) > 0, "backend needs slots and warmMost"},
 		{b.NoiseShare == 0 || (b.NoiseMillis > 0 && b.NoiseFactor > 0), "noiseShare needs noiseMillis and noiseFactor"},
-		{w.Objects > 0 && w.MeanMillis > 0 && w.TimeoutMillis > 0 && w.ObjectiveMillis > 0, "work needs objects and times"},
+		{min(float64(w.Objects), w.MeanMillis, w.TimeoutMillis, w.ObjectiveMillis) > 0, "work needs objects and times"},
 		{w.WarmGain >= 0 && w.WarmGain < 1, "warmGain must be from 0 to below 1"},
 		{s.Wave.Swing == 0 || s.Wave.PeriodSeconds > 0, "wave needs periodSeconds"},
 	}
@@ -140,17 +141,22 @@
 			return fault.New("scene", KindField, r.text)
 		}
 	}
-	for _, d := range s.DataCentres {
-		if d.Name == "" || d.Region == "" || d.Hosts < 1 || d.Rate < 0 {
-			return fault.New("scene", KindField, "a data centre needs a name, a region, a host and a rate")
-		}
+	if err := s.checkPlaces(); err != nil {
+		return err
 	}
 	for _, e := range s.Events {
-		switch e.What {
-		case WhatBurst, WhatMove, WhatSlow, WhatCold, WhatHostsGone:
-		default:
+		if !slices.Contains([]string{WhatBurst, WhatMove, WhatSlow, WhatCold, WhatHostsGone}, e.What) {
 			return fault.New("scene", KindField, "unknown event "+e.What)
 		}
 	}
 	return nil
 }
+
+func (s *Scene) checkPlaces() error {
+	for _, d := range s.DataCentres {
+		if d.Name == "" || d.Region == "" || d.Hosts < 1 || d.Rate < 0 {
+			return fault.New("scene", KindField, "a data centre needs a name, a region, a host and a rate")
+		}
+	}
+	return nil
+}
--- a/simul/pkg/world/backend.go
+++ b/simul/pkg/world/backend.go
@@ -23,14 +23,13 @@
 
 // send is one request at one backend server.
 type send struct {
-	req      *request
-	host     *host
-	backend  *plan.Backend
-	begun    time.Time
-	working  bool
-	ended    bool
-	tailed   float64
-	deadline time.Duration
+	req     *request
+	host    *host
+	backend *plan.Backend
+	begun   time.Time
+	working bool
+	ended   bool
+	tailed  float64
 }
 
 func newBackend(w *World, dataCentre string) *backend {
