Scale the mesh and the choice to large fleets

Change: reports are added up as they come, the first six candidates are picked without a sort, hosts of a region speak less often the more they are, other regions are told by a few datagrams, a host that starts asks peers before the store.

--- a/edged/cmds/process.go
+++ b/edged/cmds/process.go
@@ -94,6 +94,10 @@
 	self := mesh.Self{
 		Name: s.Host, DataCentre: s.DataCentre, Region: s.Region, IP: s.IP, Port: s.PeerPorts[0], Regions: s.Regions,
 	}
+	for _, seed := range s.Seeds {
+		ip, _, err := net.SplitHostPort(seed)
+		self.Seed = self.Seed || (err == nil && ip == s.IP)
+	}
 	var err error
 	if p.mesh, err = mesh.New(time.Now(), self, p.state, p.table, f.Layer("mesh")); err != nil {
 		return nil, err
--- a/edged/pkg/follow/follow.go
+++ b/edged/pkg/follow/follow.go
@@ -57,7 +57,7 @@
 	pause := firstPause
 	listed := false
 	for ctx.Err() == nil {
-		if !f.wanted(t) {
+		if !f.watch.Watcher(time.Now()) {
 			listed = false
 			sleep(ctx, idlePause)
 			continue
@@ -85,12 +85,6 @@
 	return nil
 }
 
-// wanted tells whether this host is to follow a topic now. Every host reads each topic once at its start.
-func (f *Follower) wanted(t plan.Topic) bool {
-	_, known := f.state.Revision(t)
-	return !known || f.watch.Watcher(time.Now())
-}
-
 // Probe asks the source for its revision while this host follows it. A watch that brings nothing does not
 // tell a calm source from one that is cut off or whose history was dropped.
 func (f *Follower) Probe(ctx context.Context) error {
--- a/edged/pkg/mesh/mesh.go
+++ b/edged/pkg/mesh/mesh.go
@@ -41,8 +41,17 @@
 	failedFor = 3 * time.Second
 	// watchersAtLeast is how many hosts follow the store, also where there is one region.
 	watchersAtLeast = 2
-	maxDatagram     = 60 << 10
-	watcherRole     = "watcher"
+	// smallFleet is up to how many hosts each speaks to all others.
+	smallFleet = 20
+	// nearPerTick is how many hosts of its region a host speaks to in one tick of a large fleet.
+	nearPerTick = 2
+	// farFew is how many hosts of other regions a host speaks to at a time in a large fleet.
+	farFew      = 2
+	maxDatagram = 60 << 10
+	// settle is how long a host that has started waits for the others before it follows the store itself:
+	// a round trip to a seed and back, and a pull.
+	settle      = 1200 * time.Millisecond
+	watcherRole = "watcher"
 	// idlePeer is how long a connection for pulls is kept.
 	idlePeer = 10 * time.Second
 )
@@ -50,6 +59,8 @@
 // Self describes this host.
 type Self struct {
 	Name, DataCentre, Region, IP string
+	// Seed tells that other hosts ask this one first.
+	Seed bool
 	// Port is the port for peers, the same on all hosts.
 	Port int
 	// Regions gives the region of each data centre.
@@ -60,6 +71,7 @@
 type Mesh struct {
 	self   Self
 	inc    int64
+	start  time.Time
 	state  *follow.State
 	table  *pick.Table
 	log    *slog.Logger
@@ -73,6 +85,10 @@
 	store   storeState
 	pulling map[string]bool
 	most    int
+	// farSent is when a few hosts of other regions were told last, in a large fleet.
+	farSent time.Time
+	// declared is how many hosts the store names.
+	declared int
 	// lastWork is what the last beats told.
 	lastWork map[uint32]uint32
 }
@@ -86,7 +102,7 @@
 	}
 	dialer := conns.Dialer()
 	m := &Mesh{
-		self: self, inc: now.UnixNano(), state: state, table: table, log: log, conn: conn,
+		self: self, inc: now.UnixNano(), start: now, state: state, table: table, log: log, conn: conn,
 		hosts: map[string]*Host{}, pulling: map[string]bool{},
 		client: &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, DisableCompression: true, IdleConnTimeout: idlePeer}},
 	}
@@ -147,7 +163,7 @@
 }
 
 func (m *Mesh) alive(now time.Time, h *Host) bool {
-	if h.region == m.self.Region {
+	if h.region == m.self.Region && !m.big() {
 		return now.Sub(h.heard) < liveFor
 	}
 	return now.Sub(h.heard) < farLiveFor
@@ -157,13 +173,16 @@
 func (m *Mesh) Most() int {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return max(1, m.most)
+	return max(1, m.most, m.declared)
 }
 
 // Watcher tells whether this host is one of those that follow the store: the first by rank of each region.
 func (m *Mesh) Watcher(now time.Time) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if now.Sub(m.start) < settle {
+		return m.self.Seed
+	}
 	if m.store == storeFails {
 		return true
 	}
@@ -246,14 +265,14 @@
 		m.mu.Unlock()
 		return
 	}
-	if h.incarnation != b.Incarnation || !m.alive(now, h) {
+	fresh := h.incarnation != b.Incarnation
+	if fresh || (!m.alive(now, h) && !m.big()) {
 		m.log.Info("host alive", "event", "alive", "host", b.Name, "dataCentre", b.DataCentre)
 	}
 	h.hear(now, b, m.self.Regions[b.DataCentre])
 	for _, p := range b.Peers {
 		m.meet(now, p)
 	}
-	m.most = max(m.most, len(m.live(now))+1)
 	pull := m.behind(b) && !m.pulling[h.address]
 	if pull {
 		m.pulling[h.address] = true
@@ -267,6 +286,27 @@
 	if pull {
 		go m.pull(ctx, address)
 	}
+	if fresh {
+		m.greet(now, address)
+	}
+}
+
+// greet tells a host that has just started of all others at once.
+func (m *Mesh) greet(now time.Time, address string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	h := m.hosts[address]
+	if h == nil || now.Sub(h.sent) < tickEvery {
+		return
+	}
+	b := &beat{
+		Name: m.self.Name, DataCentre: m.self.DataCentre, Incarnation: m.inc, Serving: m.serving, Store: m.store, BackMillis: -1,
+	}
+	for _, t := range plan.Topics() {
+		b.Revisions = append(b.Revisions, m.state.Content(t))
+	}
+	out := mail{mesh: m, beat: b}
+	out.send(now, h, true)
 }
 
 // hear takes what a host says of itself.
@@ -292,7 +332,7 @@
 	return false
 }
 
-// Tick sends beats that are due. urgent sends to all.
+// Tick sends beats that are due. urgent sends to all of the region.
 func (m *Mesh) Tick(now time.Time, urgent bool) {
 	work := packWork(m.table.Notes(now))
 	members := m.state.Members()
@@ -302,6 +342,7 @@
 	for _, mem := range members {
 		m.meet(now, mem.IP)
 	}
+	m.declared = len(members)
 	b := &beat{
 		Name: m.self.Name, DataCentre: m.self.DataCentre, Incarnation: m.inc, Serving: m.serving, Store: m.store,
 		BackMillis: back.Milliseconds(), Work: work,
@@ -309,44 +350,104 @@
 	for _, t := range plan.Topics() {
 		b.Revisions = append(b.Revisions, m.state.Content(t))
 	}
+	m.most = max(m.most, len(m.live(now))+1)
 	same := maps.Equal(work, m.lastWork)
 	m.lastWork = work
-	var plain, full []byte
+	out := mail{mesh: m, beat: b}
+	far := m.farTargets(now, urgent)
+	near := m.nearEvery(same)
 	for address, h := range m.hosts {
 		silent := now.Sub(h.heard)
-		if silent > forgetAfter {
+		switch {
+		case silent > forgetAfter:
 			delete(m.hosts, address)
+		case far[address]:
+			out.send(now, h, !m.alive(now, h))
+		case h.region != m.self.Region && h.region != "":
+		case !m.alive(now, h):
+			if now.Sub(h.sent) >= deadEvery {
+				out.send(now, h, true)
+			}
+		case urgent || now.Sub(h.sent) >= near-tickEvery/2:
+			out.send(now, h, false)
+		}
+	}
+}
+
+// big tells whether there are too many hosts for each to speak to all of them.
+func (m *Mesh) big() bool { return len(m.hosts) > smallFleet }
+
+// nearEvery returns the time between beats to one host of the region: the more hosts, the longer.
+func (m *Mesh) nearEvery(same bool) time.Duration {
+	if !m.big() {
+		if same {
+			return unchangedEvery
+		}
+		return tickEvery
+	}
+	near := 0
+	for _, h := range m.hosts {
+		if h.region == m.self.Region {
+			near++
+		}
+	}
+	return tickEvery * time.Duration(1+near/nearPerTick)
+}
+
+// farTargets returns the hosts of other regions that are due: all in turn in a small fleet, else a few.
+func (m *Mesh) farTargets(now time.Time, urgent bool) map[string]bool {
+	out := map[string]bool{}
+	if m.big() && !urgent && now.Sub(m.farSent) < farEvery {
+		return out
+	}
+	for address, h := range m.hosts {
+		if h.region == m.self.Region || h.region == "" || now.Sub(h.heard) > forgetAfter {
 			continue
 		}
-		dead := !m.alive(now, h)
-		if !urgent && !due(now, h, m.self.Region, dead, same) || (dead && now.Sub(h.sent) < deadEvery) {
+		if m.big() {
+			// The order of a map is random, so each time others are told.
+			if m.farSent = now; len(out) < farFew {
+				out[address] = true
+			}
 			continue
 		}
-		h.sent = now
-		// Hosts that may not know others are told of all.
-		data := &plain
-		if dead {
-			data = &full
+		every := farEvery
+		if !m.alive(now, h) {
+			every = deadEvery
 		}
-		if *data == nil {
-			*data = m.encode(b, dead)
+		if (urgent && m.alive(now, h)) || now.Sub(h.sent) >= every-tickEvery/2 {
+			out[address] = true
 		}
-		m.send(address, *data)
 	}
+	return out
 }
 
-func due(now time.Time, h *Host, region string, dead, same bool) bool {
-	every := tickEvery
-	if same {
-		every = unchangedEvery
-	}
-	if h.region != region {
-		every = farEvery
+// mail encodes a beat once for each form and sends it.
+type mail struct {
+	mesh              *Mesh
+	beat              *beat
+	plain, full, lean []byte
+}
+
+// send sends to a host. Those that may not know others are told of all; in a large fleet other regions are
+// not told of work.
+func (o *mail) send(now time.Time, h *Host, full bool) {
+	h.sent = now
+	data := &o.plain
+	if full {
+		data = &o.full
+	} else if h.region != o.mesh.self.Region && o.mesh.big() {
+		data = &o.lean
 	}
-	if dead {
-		every = deadEvery
+	if *data == nil {
+		work := o.beat.Work
+		if data == &o.lean {
+			o.beat.Work = nil
+		}
+		*data = o.mesh.encode(o.beat, full)
+		o.beat.Work = work
 	}
-	return now.Sub(h.sent) >= every-tickEvery/2
+	o.mesh.send(h.address, *data)
 }
 
 func (m *Mesh) encode(b *beat, full bool) []byte {
--- a/edged/pkg/mesh/mesh_test.go
+++ b/edged/pkg/mesh/mesh_test.go
@@ -35,7 +35,7 @@
 	assert.NilError(t, probe.Close())
 	dc := []string{"n", "s"}[i%2]
 	self := Self{Name: fmt.Sprintf("host-%d", i), DataCentre: dc, Region: regions[dc], IP: "127.0.0.1", Port: addr.Port, Regions: regions}
-	m, err := New(start, self, follow.NewState(regions, log), pick.New(pick.DefaultRules(), noFleet{}), log)
+	m, err := New(start.Add(-time.Minute), self, follow.NewState(regions, log), pick.New(pick.DefaultRules(), noFleet{}), log)
 	assert.NilError(t, err)
 	t.Cleanup(func() { _ = m.conn.Close() })
 	return m
--- a/edged/pkg/pick/option.go
+++ b/edged/pkg/pick/option.go
@@ -1,7 +1,6 @@
 package pick
 
 import (
-	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -34,11 +33,11 @@
 
 // best returns the best way for a request; ok is false where there is none.
 func (t *Table) best(now time.Time, v *plan.View, svc *service, q *Query) (option, bool) {
-	list := t.candidates(now, v, q)
+	list := t.candidates(now, v, svc, q)
 	var out option
 	found := false
 	for i, c := range list {
-		if i >= t.rules.Homes && q.Sticky && (found && (out.now || t.use(now, v, q.Service) > t.rules.SpillUse)) {
+		if i >= t.rules.Homes && q.Sticky && (found && (out.now || svc.use(now, t) > t.rules.SpillUse)) {
 			break
 		}
 		o := t.option(now, svc, c.s, q)
@@ -52,14 +51,22 @@
 	return out, found
 }
 
-// use returns which part of a service's slots is in use.
-func (t *Table) use(now time.Time, v *plan.View, service string) float64 {
+// useLife is how long the use of a service's slots counts before it is added up again.
+const useLife = 50 * time.Millisecond
+
+// use returns which part of the service's slots is in use.
+func (s *service) use(now time.Time, t *Table) float64 {
+	if now.Sub(s.usedAt) < useLife && now.After(s.usedAt) {
+		return s.used
+	}
 	busy, slots := 0, 0
-	for _, b := range v.Usable(service) {
-		slots += b.Slots()
-		busy += min(b.Slots(), t.load(now, t.server(b)))
+	for _, m := range s.shares.members {
+		n := m.s.backend.Slots()
+		slots += n
+		busy += min(n, t.load(now, m.s))
 	}
-	return float64(busy) / float64(max(1, slots))
+	s.used, s.usedAt = float64(busy)/float64(max(1, slots)), now
+	return s.used
 }
 
 // option returns what becomes of a request at one backend server.
@@ -88,44 +95,49 @@
 	return o
 }
 
-// candidates returns the backend servers that may get the request, in the order of its object.
-func (t *Table) candidates(now time.Time, v *plan.View, q *Query) []candidate {
-	usable := v.Usable(q.Service)
-	list := make([]candidate, 0, len(usable))
-	sh := t.sharesOf(v, q.Service)
-	for _, b := range usable {
-		if !q.Allows(b.Region()) || slices.Contains(q.Tried, b.Key()) {
-			continue
-		}
-		s := t.server(b)
-		if now.Before(s.outUntil) {
-			continue
-		}
-		if b.Cold(now) && (now.Before(s.coldNext) || !t.fleet.Keeper(b)) {
-			continue
-		}
+// candidatesMost is how many backend servers are considered for a request.
+const candidatesMost = 6
+
+// candidates returns the first backend servers that may get the request, in the order of its object, or by
+// their load where it has none.
+func (t *Table) candidates(now time.Time, v *plan.View, svc *service, q *Query) []candidate {
+	if svc.shares == nil || svc.shares.view != v || svc.shares.region != q.Region {
+		svc.shares = t.newShares(v, q.Service, q.Region)
+	}
+	list := make([]candidate, 0, candidatesMost+1)
+	for _, m := range svc.shares.members {
 		var rank float64
 		if q.Sticky {
-			rank = sh.rank(q.Region, q.Object, b)
+			rank = m.rank(q.Object)
 		} else {
-			rank = float64(t.load(now, s)) / float64(b.Slots())
-			if b.Region() != q.Region {
+			rank = float64(t.load(now, m.s)) / float64(m.s.backend.Slots())
+			if m.far {
 				rank += farPush
 			}
 		}
-		list = append(list, candidate{s: s, rank: rank})
+		if len(list) == candidatesMost && rank >= list[len(list)-1].rank {
+			continue
+		}
+		if !t.usable(now, v, m.s, q) {
+			continue
+		}
+		i := len(list)
+		for i > 0 && rank < list[i-1].rank {
+			i--
+		}
+		list = slices.Insert(list, i, candidate{s: m.s, rank: rank})
+		list = list[:min(len(list), candidatesMost)]
 	}
-	slices.SortFunc(list, func(a, b candidate) int { return cmp.Compare(a.rank, b.rank) })
 	return list
 }
 
-// sharesOf returns the spread of a service's objects in a view.
-func (t *Table) sharesOf(v *plan.View, service string) *shares {
-	svc := t.service(service)
-	if svc.shares == nil || svc.shares.view != v {
-		svc.shares = newShares(v, service, t.fleet.Demand(), t.rules.FreeShare)
+// usable tells whether a backend server may get a request now.
+func (t *Table) usable(now time.Time, v *plan.View, s *server, q *Query) bool {
+	b := s.backend
+	if !q.Allows(b.Region()) || slices.Contains(q.Tried, b.Key()) || now.Before(s.outUntil) {
+		return false
 	}
-	return svc.shares
+	return !b.Cold(now) || (!now.Before(s.coldNext) && t.fleet.Keeper(b))
 }
 
 // unit spreads a hash over 0 to 1.
--- a/edged/pkg/pick/pick.go
+++ b/edged/pkg/pick/pick.go
@@ -123,12 +123,16 @@
 	short    map[uint32]*server
 	services map[string]*service
 	peers    map[string]report
+	// peerWork is the requests of all peers at each backend server, by short name.
+	peerWork map[uint32]int
 }
 
 // service is what is known of a service.
 type service struct {
 	warm, cold mean
 	shares     *shares
+	used       float64
+	usedAt     time.Time
 	queue      []*Ticket
 	// rate is how many requests a second were sent from here lately.
 	rate   float64
@@ -152,6 +156,7 @@
 func New(rules Rules, fleet Fleet) *Table {
 	return &Table{
 		rules: rules, fleet: fleet, servers: map[string]*server{}, short: map[uint32]*server{}, services: map[string]*service{}, peers: map[string]report{},
+		peerWork: map[uint32]int{},
 	}
 }
 
@@ -182,7 +187,9 @@
 func (t *Table) Report(now time.Time, peer string, notes map[uint32]Note) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.count(t.peers[peer].notes, -1)
 	t.peers[peer] = report{at: now, notes: notes}
+	t.count(notes, 1)
 	for name, n := range notes {
 		if s := t.short[name]; s != nil && n.Slowness > 0 {
 			s.slowness, s.slownessAt = n.Slowness, now
@@ -190,6 +197,26 @@
 	}
 }
 
+// count adds a peer's requests to the backend servers' or takes them away.
+func (t *Table) count(notes map[uint32]Note, sign int) {
+	for name, n := range notes {
+		t.peerWork[name] += sign * n.Count
+		if t.peerWork[name] == 0 {
+			delete(t.peerWork, name)
+		}
+	}
+}
+
+// expire forgets the reports of peers that are silent.
+func (t *Table) expire(now time.Time) {
+	for name, r := range t.peers {
+		if now.Sub(r.at) > reportLife {
+			t.count(r.notes, -1)
+			delete(t.peers, name)
+		}
+	}
+}
+
 // Notes returns what this host has to tell of backend servers, by short name.
 func (t *Table) Notes(now time.Time) map[uint32]Note {
 	t.mu.Lock()
@@ -296,6 +323,7 @@
 func (t *Table) DrainAll(now time.Time, v *plan.View) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.expire(now)
 	for _, svc := range t.services {
 		t.drain(now, v, svc)
 	}
@@ -340,9 +368,4 @@
 		}
 		s.trim()
 	}
-	for name, r := range t.peers {
-		if now.Sub(r.at) > reportLife {
-			delete(t.peers, name)
-		}
-	}
 }
--- a/edged/pkg/pick/server.go
+++ b/edged/pkg/pick/server.go
@@ -12,8 +12,8 @@
 
 // Rules of what is believed of backend servers.
 const (
-	// reportLife is how long a peer's report counts; reports come several times a second.
-	reportLife = time.Second
+	// reportLife is how long a peer's report counts; reports come several times a second, in large fleets once.
+	reportLife = 2 * time.Second
 	// seenLife is how long the work counts that a backend server told with an answer.
 	seenLife = 100 * time.Millisecond
 	// noteLife is how long the told slowness is new enough to be passed on.
@@ -160,13 +160,7 @@
 	if now.Sub(s.seen) < seenLife {
 		return s.own + s.others
 	}
-	n := s.own
-	for _, r := range t.peers {
-		if now.Sub(r.at) < reportLife {
-			n += r.notes[Short(s.backend)].Count
-		}
-	}
-	return n
+	return s.own + t.peerWork[Short(s.backend)]
 }
 
 // trim forgets the objects that were not handled for the longest time.
--- a/edged/pkg/pick/shares.go
+++ b/edged/pkg/pick/shares.go
@@ -6,53 +6,71 @@
 	"rosemarygrade.dev/lib/pkg/plan"
 )
 
-// shares is how the objects of each region are spread over the backend servers of one service.
+// shares is how the objects of one region are spread over the backend servers of one service.
 type shares struct {
-	view *plan.View
-	// weight is, for an origin region and a backend server's region, the weight of one slot.
-	weight map[string]map[string]float64
+	view   *plan.View
+	region string
+	// members are the usable backend servers with the inverse of their weight.
+	members []member
+}
+
+type member struct {
+	s *server
+	// inverse is 1 / weight; the lower, the more objects.
+	inverse float64
+	far     bool
 }
 
 // newShares divides the slots of a service among the regions: each keeps its own objects as far as its slots
-// go, and what is left goes where there are more slots than needed. Regions count by their data centres,
-// which have about the same number of callers each.
-func newShares(v *plan.View, service string, demand map[string]float64, freeShare float64) *shares {
+// go, and what is left goes where there are more slots than needed.
+func (t *Table) newShares(v *plan.View, service, origin string) *shares {
+	out := &shares{view: v, region: origin}
 	slots, total := map[string]float64{}, 0.0
 	for _, b := range v.Usable(service) {
 		slots[b.Region()] += float64(b.Slots())
 		total += float64(b.Slots())
 	}
-	keep, spare, left := map[string]float64{}, map[string]float64{}, 0.0
+	weight := t.weights(slots, total, origin)
+	for _, b := range v.Usable(service) {
+		out.members = append(out.members, member{
+			s: t.server(b), inverse: 1 / (weight[b.Region()] * float64(b.Slots())), far: b.Region() != origin,
+		})
+	}
+	return out
+}
+
+// weights returns the weight of one slot in each region for the objects of one of them.
+func (t *Table) weights(slots map[string]float64, total float64, origin string) map[string]float64 {
+	demand := t.fleet.Demand()
+	spare, left := map[string]float64{}, 0.0
 	for region, n := range slots {
-		keep[region] = min(demand[region], n/total)
-		spare[region] = n/total - keep[region]
+		spare[region] = n/total - min(demand[region], n/total)
 		left += spare[region]
 	}
-	s := &shares{view: v, weight: map[string]map[string]float64{}}
-	for origin, need := range demand {
-		w := map[string]float64{}
-		for region, n := range slots {
-			part := 0.0
+	need := demand[origin]
+	kept := min(need, slots[origin]/total)
+	out := map[string]float64{}
+	for region, n := range slots {
+		part := n / total
+		if need > 0 {
+			part = 0
 			if left > 0 {
-				part = (need - keep[origin]) * spare[region] / left
+				part = (need - kept) / need * spare[region] / left
 			}
 			if region == origin {
-				part += keep[origin]
+				part += kept / need
 			}
-			part = (1-freeShare)*part/need + freeShare*n/total
-			w[region] = part / n
+			part = (1-t.rules.FreeShare)*part + t.rules.FreeShare*n/total
 		}
-		s.weight[origin] = w
+		out[region] = max(part, leastPart) / n
 	}
-	return s
+	return out
 }
 
+// leastPart keeps a region in the order of objects that it should hold none of.
+const leastPart = 1e-6
+
 // rank places a backend server in the order of an object: the lowest is its first home.
-func (s *shares) rank(origin string, object uint64, b *plan.Backend) float64 {
-	w, ok := s.weight[origin][b.Region()]
-	if !ok {
-		w = 1
-	}
-	u := unit(object ^ b.Hash())
-	return -math.Log1p(-u) / (w * float64(b.Slots()))
+func (m member) rank(object uint64) float64 {
+	return -math.Log1p(-unit(object^m.s.backend.Hash())) * m.inverse
 }
