--- a/rosectl/cmds/cmds.go
+++ b/rosectl/cmds/cmds.go
@@ -117,7 +117,7 @@
 func commands(t *tool) []*cobra.Command {
 	return []*cobra.Command{
 		validateCommand(t), applyCommand(t), getCommand(t), statusCommand(t), watchCommand(t), deleteCommand(t),
-		shiftCommand(t), drainCommand(t), recallCommand(t), explainCommand(t), dumpCommand(t), versionCommand(),
+		shiftCommand(t), drainCommand(t), recallCommand(t), explainCommand(t), traceCommand(), dumpCommand(t), versionCommand(),
 	}
 }
 
--- /dev/null
+++ b/rosectl/cmds/trace.go
@@ -0,0 +1,103 @@
+package cmds
+
+import (
+	"bufio"
+	"cmp"
+	"fmt"
+	"io"
+	"os"
+	"regexp"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/spf13/cobra"
+)
+
+// logLine is one line of one request.
+type logLine struct {
+	at   time.Time
+	text string
+}
+
+var (
+	timeField  = regexp.MustCompile(`\btime=(\S+)`)
+	afterField = regexp.MustCompile(`\bafterMillis=(\d+)`)
+)
+
+// maxLogLine is the longest line that is read.
+const maxLogLine = 1 << 20
+
+func traceCommand() *cobra.Command {
+	return &cobra.Command{
+		Use: "trace ID FILE...", Short: "Put the log lines of one request from many processes in order",
+		Args: cobra.MinimumNArgs(2),
+		Long: `Reads the logs of any number of processes and prints the lines that hold the request's id, by time. A process
+writes a request's lines when it has ended; afterMillis tells how long after its arrival each decision was made.`,
+		RunE: func(cmd *cobra.Command, args []string) error {
+			var lines []logLine
+			for _, path := range args[1:] {
+				found, err := readTrace(path, args[0])
+				if err != nil {
+					return err
+				}
+				lines = append(lines, found...)
+			}
+			if len(lines) == 0 {
+				return fmt.Errorf("no line holds %s: it ended well and was not sampled, or another host took it: %w", args[0], errNoSuch)
+			}
+			slices.SortStableFunc(lines, func(a, b logLine) int { return cmp.Compare(a.at.UnixNano(), b.at.UnixNano()) })
+			for _, l := range lines {
+				_, _ = fmt.Fprintln(cmd.OutOrStdout(), l.text)
+			}
+			return nil
+		},
+	}
+}
+
+func readTrace(path, id string) ([]logLine, error) {
+	f, err := os.Open(path)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = f.Close() }()
+	return traceLines(f, id)
+}
+
+// traceLines returns the lines that hold an id. The lines of one request are written together at its end, so
+// each is dated by the request's arrival and the time since.
+func traceLines(r io.Reader, id string) ([]logLine, error) {
+	var out []logLine
+	in := bufio.NewScanner(r)
+	in.Buffer(nil, maxLogLine)
+	for in.Scan() {
+		if strings.Contains(in.Text(), id) {
+			out = append(out, logLine{text: in.Text()})
+		}
+	}
+	last := int64(0)
+	for _, l := range out {
+		last = max(last, after(l.text))
+	}
+	for i, l := range out {
+		if m := timeField.FindStringSubmatch(l.text); m != nil {
+			if t, err := time.Parse(time.RFC3339Nano, m[1]); err == nil {
+				out[i].at = t.Add(time.Duration(after(l.text)-last) * time.Millisecond)
+			}
+		}
+	}
+	return out, in.Err()
+}
+
+func after(line string) int64 {
+	m := afterField.FindStringSubmatch(line)
+	if m == nil {
+		return 0
+	}
+	n, err := strconv.ParseInt(m[1], 10, 64)
+	if err != nil {
+		return 0
+	}
+	return n
+}
--- /dev/null
+++ b/simul/cmds/docs_test.go
@@ -0,0 +1,16 @@
+package cmds_test
+
+import (
+	"os"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"rosemarygrade.dev/simul/cmds"
+	"rosemarygrade.dev/lib/pkg/help"
+)
+
+// TestDocs checks that the committed page is the command's help. UPDATE_DOCS=1 writes it anew.
+func TestDocs(t *testing.T) {
+	assert.NilError(t, help.Check(cmds.Command(), "../../docs/commands/simul.md", os.Getenv("UPDATE_DOCS") != ""))
+}
