--- a/edged/pkg/mesh/mesh.go
+++ b/edged/pkg/mesh/mesh.go
@@ -261,7 +261,7 @@
 	m.mu.Lock()
 	m.meet(now, ip)
 	h := m.hosts[net.JoinHostPort(ip, strconv.Itoa(m.self.Port))]
-	if h == nil || b.Incarnation < h.incarnation || (b.Incarnation == h.incarnation && b.Seq <= h.seq) {
+	if h == nil || h.newerThan(b) {
 		m.mu.Unlock()
 		return
 	}
@@ -309,6 +309,11 @@
 	out.send(now, h, true)
 }
 
+// newerThan tells whether a beat is older than what is known of the host.
+func (h *Host) newerThan(b *beat) bool {
+	return b.Incarnation < h.incarnation || (b.Incarnation == h.incarnation && b.Seq <= h.seq)
+}
+
 // hear takes what a host says of itself.
 func (h *Host) hear(now time.Time, b *beat, region string) {
 	h.name, h.dataCentre, h.region = b.Name, b.DataCentre, region
--- a/edged/pkg/pick/option.go
+++ b/edged/pkg/pick/option.go
@@ -118,7 +118,7 @@
 		if len(list) == candidatesMost && rank >= list[len(list)-1].rank {
 			continue
 		}
-		if !t.usable(now, v, m.s, q) {
+		if !t.usable(now, m.s, q) {
 			continue
 		}
 		i := len(list)
@@ -132,7 +132,7 @@
 }
 
 // usable tells whether a backend server may get a request now.
-func (t *Table) usable(now time.Time, v *plan.View, s *server, q *Query) bool {
+func (t *Table) usable(now time.Time, s *server, q *Query) bool {
 	b := s.backend
 	if !q.Allows(b.Region()) || slices.Contains(q.Tried, b.Key()) || now.Before(s.outUntil) {
 		return false
--- a/simul/cmds/docs_test.go
+++ b/simul/cmds/docs_test.go
@@ -6,8 +6,8 @@
 
 	"gotest.tools/v3/assert"
 
-	"rosemarygrade.dev/simul/cmds"
 	"rosemarygrade.dev/lib/pkg/help"
+	"rosemarygrade.dev/simul/cmds"
 )
 
 // TestDocs checks that the committed page is the command's help. UPDATE_DOCS=1 writes it anew.
