--- a/edged/cmds/process.go
+++ b/edged/cmds/process.go
@@ -155,10 +155,10 @@
 	p.log.Info("started", "event", "start", "caller", s.CallerAddress, "store", s.StoreAddress)
 	err = g.Wait()
 	if errors.Is(err, errStopped) {
-		p.log.Info("stopped", "event", "stop")
-		return nil
+		p.log.Info("stopped", "event", "stop", "inFlight", p.gate.InFlight())
+		err = nil
 	}
-	return err
+	return errors.Join(err, sink.Flush())
 }
 
 func (p *process) listen() ([]net.Listener, error) {
--- a/edged/pkg/mesh/beat.go
+++ b/edged/pkg/mesh/beat.go
@@ -103,6 +103,8 @@
 	serving     bool
 	store       storeState
 	storeUntil  time.Time
+	// told is whether the host was alive when that was logged last.
+	told bool
 }
 
 // Name returns the host's name.
--- a/edged/pkg/mesh/mesh.go
+++ b/edged/pkg/mesh/mesh.go
@@ -363,6 +363,7 @@
 	near := m.nearEvery(same)
 	for address, h := range m.hosts {
 		silent := now.Sub(h.heard)
+		m.note(now, h)
 		switch {
 		case silent > forgetAfter:
 			delete(m.hosts, address)
@@ -379,6 +380,15 @@
 	}
 }
 
+// note logs once that a host of the region is not heard any more.
+func (m *Mesh) note(now time.Time, h *Host) {
+	alive := m.alive(now, h)
+	if h.told && !alive && h.region == m.self.Region {
+		m.log.Warn("host silent", "event", "silent", "host", h.name, "dataCentre", h.dataCentre, "heardMillisAgo", now.Sub(h.heard).Milliseconds())
+	}
+	h.told = alive
+}
+
 // big tells whether there are too many hosts for each to speak to all of them.
 func (m *Mesh) big() bool { return len(m.hosts) > smallFleet }
 
--- a/edged/pkg/pick/pick.go
+++ b/edged/pkg/pick/pick.go
@@ -301,8 +301,9 @@
 	}
 }
 
-// Done ends a request at a backend server. Load is what the answer told, if any.
-func (t *Table) Done(now time.Time, b *plan.Backend, q *Query, took time.Duration, o Outcome, load Load) {
+// Done ends a request at a backend server. Load is what the answer told, if any. It tells whether the backend
+// server is left out from now on for a while.
+func (t *Table) Done(now time.Time, b *plan.Backend, q *Query, took time.Duration, o Outcome, load Load) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s, svc := t.server(b), t.service(b.Service())
@@ -310,6 +311,7 @@
 	if o == Answered {
 		s.learn(svc, took, warm)
 	}
+	return o == Failed && s.failures == failuresOut
 }
 
 // Drain sends on what waits and can go now, and turns away what can't be served any more.
--- a/lib/pkg/logs/sink.go
+++ b/lib/pkg/logs/sink.go
@@ -50,20 +50,21 @@
 	for {
 		select {
 		case <-ctx.Done():
-			return s.flush()
+			return s.Flush()
 		case <-s.wake:
 		}
 		select {
 		case <-ctx.Done():
 		case <-time.After(flushEvery):
 		}
-		if err := s.flush(); err != nil {
+		if err := s.Flush(); err != nil {
 			return err
 		}
 	}
 }
 
-func (s *Sink) flush() error {
+// Flush writes what waits.
+func (s *Sink) Flush() error {
 	s.mu.Lock()
 	data, dropped := s.buf, s.dropped
 	s.buf, s.dropped = nil, 0
