--- a/edged/cmds/settings.go
+++ b/edged/cmds/settings.go
@@ -44,15 +44,13 @@
 	RepeatSlack         float64 `json:"repeatSlack"`
 	// LookupLifetimeSeconds is the longest time for which callers keep an answer.
 	LookupLifetimeSeconds float64 `json:"lookupLifetimeSeconds"`
-	// MoveShare is the largest share of a region's requests that may change region in two seconds.
-	MoveShare float64 `json:"moveShare"`
 }
 
 // NewSettings returns the defaults.
 func NewSettings() *Settings {
 	return &Settings{
 		MemoryMegabytes: defaultMemory, GraceSeconds: defaultGrace, RepeatRatio: defaultRatio,
-		RepeatWindowSeconds: defaultWindow, LookupLifetimeSeconds: defaultLifetime, MoveShare: defaultMove,
+		RepeatWindowSeconds: defaultWindow, LookupLifetimeSeconds: defaultLifetime,
 	}
 }
 
@@ -63,7 +61,6 @@
 	defaultRatio    = 0.1
 	defaultWindow   = 10
 	defaultLifetime = 2
-	defaultMove     = 0.15
 	maxMemory       = 1 << 20
 	maxSeeds        = 1000
 	maxPort         = 65535
@@ -93,7 +90,6 @@
 	c.Positive("graceSeconds", s.GraceSeconds)
 	c.Positive("repeatWindowSeconds", s.RepeatWindowSeconds)
 	c.Positive("lookupLifetimeSeconds", s.LookupLifetimeSeconds)
-	c.Positive("moveShare", s.MoveShare)
 	return c.Err()
 }
 
