Pack large declarations, answer few pulls at once

Change: answers of 32 KB and more are packed and kept for the next asker, four are answered at once, the others take it from those; the limit is 2 s. TestLargePulls found a packed answer without its last bytes.

--- a/_scripts/breaks.sh
+++ b/_scripts/breaks.sh
@@ -64,4 +64,22 @@
 broken entryd/pkg/proxy/keyed.go 's/ok \&\& r.Kind == flow.RefusedConnect/false/;s/r, ok := res.(flow.Refused); false/r, ok := res.(flow.Refused); ok \&\& r.Kind == "never"/' ./entryd/pkg/proxy TestKeys
 broken entryd/pkg/caller/caller.go 's/			panic(http.ErrAbortHandler)/			return/' ./entryd/pkg/caller TestAnswers
 broken steerd/pkg/lookup/lookup.go 's/m.GetRole() != peerpb.Role_ROLE_ENTRYD || m.GetLeaving()/m.GetRole() != peerpb.Role_ROLE_ENTRYD/' ./steerd/pkg/lookup TestAnswer
+broken edged/pkg/conns/conns.go 's/if id := p.echo(resp.Header); id == req.ID || id == ""/if id := p.echo(resp.Header); id == id/' ./edged/pkg/conns TestAnswers
+broken edged/pkg/conns/conns.go 's/if now.Before(c.until) \&\& quiet(c.Conn)/if now.Before(c.until)/' ./edged/pkg/conns TestKeeping
+broken edged/pkg/conns/conns.go 's/clean \&\& !resp.Close/clean/' ./edged/pkg/conns TestKeeping
+broken edged/pkg/gate/gate.go 's/if (x.route.Idempotent() || !x.ran) \&\& g.mayRepeat(x)/if g.mayRepeat(x)/' ./edged/cmds TestFaultsOfBackends
+broken edged/pkg/gate/gate.go 's/	if x.ran {$/	if false {/' ./edged/cmds 'TestFaultsOfBackends|TestTimes'
+broken edged/pkg/pick/option.go 's/return !b.Cold(now) ||/return b.Cold(now) || true ||/' ./edged/pkg/pick TestLimitsOfBackends
+broken edged/pkg/pick/queue.go 's/return a.Priority < b.Priority/return a.Priority > b.Priority/' ./edged/pkg/pick TestQueue
+broken edged/pkg/pick/repeat.go 's/budgetUse = 0.6/budgetUse = 6/' ./edged/pkg/pick TestRepeats
+broken edged/pkg/pick/split.go 's/	debt\[best\] -= total//' ./edged/pkg/pick TestSplits
+broken edged/pkg/follow/state.go 's/s.config != nil \&\& item.Version() <= s.config.Version()/false/' ./edged/pkg/follow TestState
+broken edged/pkg/follow/state.go 's/	s.held\[name\] = hold{spec: spec, until: until}/	_ = until/' ./edged/pkg/follow TestState
+broken edged/pkg/follow/follow.go 's/if rev > max(read, f.state.Newest()) {/if false {/' ./edged/pkg/follow TestDeafWatches
+broken edged/pkg/mesh/mesh.go 's/return ok \&\& first == m.self.Name/return ok \&\& first != ""/' ./edged/pkg/mesh TestKeepers
+broken edged/pkg/mesh/mesh.go 's/if now.Before(h.storeUntil) {/if false {/' ./edged/pkg/mesh TestWatchers
+broken edged/cmds/process.go 's/	p.mesh.SetServing(false)//;s/!p.stopping.Load() \&\& p.state/p.state/' ./edged/cmds TestStop
+broken lib/pkg/plan/view.go 's/if !s.Leaving \&\& !drained\[s.DataCentre\]/if true/' ./edged/cmds TestDeclarations
+broken lib/pkg/logs/sink.go 's/if len(s.buf)+len(p) > sinkBytes {/if false {/' ./lib/pkg/logs TestSinkTellsWhatItDropped
+broken platform/adapt/decode.go 's/r.Type == wordSafe/true/' ./platform/adapt TestConfig
 exit $bad
--- a/edged/pkg/mesh/mesh.go
+++ b/edged/pkg/mesh/mesh.go
@@ -77,6 +77,9 @@
 	log    *slog.Logger
 	conn   *net.UDPConn
 	client *http.Client
+	// serves bounds the pulls that are answered at once; kept is the last answer.
+	serves chan struct{}
+	kept   keptAnswer
 
 	mu      sync.Mutex
 	hosts   map[string]*Host
@@ -104,7 +107,8 @@
 	m := &Mesh{
 		self: self, inc: now.UnixNano(), start: now, state: state, table: table, log: log, conn: conn,
 		hosts: map[string]*Host{}, pulling: map[string]bool{},
-		client: &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, DisableCompression: true, IdleConnTimeout: idlePeer}},
+		serves: make(chan struct{}, servesAtMost),
+		client: &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, IdleConnTimeout: idlePeer}},
 	}
 	return m, nil
 }
--- a/edged/pkg/mesh/mesh_test.go
+++ b/edged/pkg/mesh/mesh_test.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"log/slog"
 	"net"
+	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
 
@@ -171,3 +173,34 @@
 		assert.Assert(t, err != nil)
 	}
 }
+
+// TestLargePulls passes on a configuration of many routes, which is packed.
+func TestLargePulls(t *testing.T) {
+	const routes = 900
+	spec := plan.ConfigSpec{Version: 2, Services: []plan.ServiceSpec{{Name: "alpha"}}}
+	for i := range routes {
+		spec.Routes = append(spec.Routes, plan.RouteSpec{
+			Name: fmt.Sprintf("r%d", i), Host: "web", Prefix: fmt.Sprintf("/r%d/", i), Timeout: time.Second, MaxAttempts: 1,
+			Parts: []plan.Part{{Service: "alpha", Weight: 1}},
+		})
+	}
+	config, err := plan.NewConfig(spec)
+	assert.NilError(t, err)
+	from, to := newMesh(t, 0), newMesh(t, 1)
+	from.state.Replace(start, plan.TopicConfig, plan.Listing{Revision: 7, Changes: []plan.Change{{Name: "main", Revision: 7, Item: config}}})
+	server := httptest.NewServer(from.Handler())
+	t.Cleanup(server.Close)
+	to.pull(t.Context(), server.Listener.Addr().String())
+	assert.Equal(t, to.state.View().Config().Version(), uint64(2))
+	assert.Assert(t, from.kept.packed)
+	assert.Assert(t, len(from.kept.data) < 64<<10, "%d bytes", len(from.kept.data))
+	t.Run("a host that serves enough others says so", func(t *testing.T) {
+		for range servesAtMost {
+			from.serves <- struct{}{}
+		}
+		resp, err := http.Get(server.URL + PathState)
+		assert.NilError(t, err)
+		assert.NilError(t, resp.Body.Close())
+		assert.Equal(t, resp.StatusCode, http.StatusServiceUnavailable)
+	})
+}
--- a/edged/pkg/mesh/pull.go
+++ b/edged/pkg/mesh/pull.go
@@ -1,12 +1,15 @@
 package mesh
 
 import (
+	"bytes"
+	"compress/gzip"
 	"context"
 	"encoding/json"
 	"io"
 	"net/http"
 	"net/url"
 	"strconv"
+	"sync"
 	"time"
 
 	"rosemarygrade.dev/edged/pkg/follow"
@@ -16,7 +19,12 @@
 
 // Limits of pulls.
 const (
-	pullWait  = 800 * time.Millisecond
+	// pullWait is longer than a large configuration takes on a link of 10 Mbit/s that several share.
+	pullWait = 2 * time.Second
+	// servesAtMost is how many peers are answered at once: those that are served pass it on.
+	servesAtMost = 4
+	// packFrom is from how many bytes an answer is packed: below it costs more than it saves.
+	packFrom  = 32 << 10
 	maxPulled = 64 << 20
 	// PathState is where hosts answer with what they know.
 	PathState = "/state"
@@ -52,20 +60,79 @@
 				have[t] = n
 			}
 		}
-		now := time.Now()
-		known := m.state.Snapshots(have)
-		out := make([]snapshot, 0, len(known))
-		for _, s := range known {
-			out = append(out, pack(now, s))
-		}
-		w.Header().Set("Content-Type", "application/json")
-		if err := json.NewEncoder(w).Encode(out); err != nil {
-			m.log.Debug("state not sent", "event", "mesh", "error", err)
+		select {
+		case m.serves <- struct{}{}:
+			defer func() { <-m.serves }()
+		default:
+			// Those that are served now pass it on.
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
 		}
+		m.answer(w, r.URL.RawQuery, have)
 	})
 	return mux
 }
 
+// answer sends what a peer does not have. Many peers ask for the same after a change, so it is kept for them.
+func (m *Mesh) answer(w http.ResponseWriter, query string, have map[plan.Topic]uint64) {
+	key := query
+	for _, t := range plan.Topics() {
+		key += "/" + strconv.FormatUint(m.state.Content(t), 10)
+	}
+	m.kept.Lock()
+	defer m.kept.Unlock()
+	if m.kept.key != key {
+		data, packed, err := m.encodeState(have)
+		if err != nil {
+			m.log.Error("state not encoded", "event", "mesh", "error", err)
+			w.WriteHeader(http.StatusInternalServerError)
+			return
+		}
+		m.kept.key, m.kept.data, m.kept.packed = key, data, packed
+	}
+	w.Header().Set("Content-Type", "application/json")
+	if m.kept.packed {
+		w.Header().Set("Content-Encoding", "gzip")
+	}
+	if _, err := w.Write(m.kept.data); err != nil {
+		m.log.Debug("state not sent", "event", "mesh", "error", err)
+	}
+}
+
+// keptAnswer is the last answer to a pull.
+type keptAnswer struct {
+	sync.Mutex
+	key    string
+	data   []byte
+	packed bool
+}
+
+// encodeState encodes what a peer does not have, packed where it is long.
+func (m *Mesh) encodeState(have map[plan.Topic]uint64) (data []byte, packed bool, err error) {
+	now := time.Now()
+	known := m.state.Snapshots(have)
+	out := make([]snapshot, 0, len(known))
+	for _, s := range known {
+		out = append(out, pack(now, s))
+	}
+	if data, err = json.Marshal(out); err != nil || len(data) < packFrom {
+		return data, false, err
+	}
+	var b bytes.Buffer
+	z, err := gzip.NewWriterLevel(&b, gzip.BestSpeed)
+	if err != nil {
+		return nil, false, err
+	}
+	if _, err := z.Write(data); err != nil {
+		return nil, false, err
+	}
+	// The last bytes are written by Close.
+	if err := z.Close(); err != nil {
+		return nil, false, err
+	}
+	return b.Bytes(), true, nil
+}
+
 func pack(now time.Time, s follow.Snapshot) snapshot {
 	out := snapshot{Topic: s.Topic, Revision: s.Revision, Full: s.Full}
 	for _, c := range s.Changes {
@@ -155,6 +222,9 @@
 		return fault.Wrap("pull", KindPeer, err)
 	}
 	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		return fault.New("pull", KindPeer, resp.Status)
+	}
 	var got []snapshot
 	if err := json.NewDecoder(io.LimitReader(resp.Body, maxPulled)).Decode(&got); err != nil {
 		return fault.Wrap("pull", KindFormat, err)
