--- a/edged/cmds/reload.go
+++ b/edged/cmds/reload.go
@@ -23,24 +23,30 @@
 	defer signal.Stop(hup)
 	t := time.NewTicker(settingsEvery)
 	defer t.Stop()
-	last := p.modified(path)
+	// The file may have changed between the start and now, so it is read once in any case.
+	var last time.Time
 	for {
+		asked := false
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-hup:
+			asked = true
 		case <-t.C:
-			if p.modified(path).Equal(last) {
-				continue
-			}
 		}
-		last = p.modified(path)
+		now := p.modified(path)
+		if !asked && now.Equal(last) {
+			continue
+		}
+		last = now
 		fresh := NewSettings()
 		if err := config.Load(path, fresh); err != nil {
 			p.log.Error("settings refused, the old ones stay", "event", "reload", "error", err)
 			continue
 		}
-		p.apply(time.Now(), fresh)
+		if asked || !reflect.DeepEqual(fresh, p.reloaded.Load()) {
+			p.apply(time.Now(), fresh)
+		}
 	}
 }
 
--- /dev/null
+++ b/edged/pkg/trail/trail_test.go
@@ -0,0 +1,49 @@
+package trail_test
+
+import (
+	"bytes"
+	"fmt"
+	"log/slog"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"rosemarygrade.dev/edged/pkg/trail"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// lines returns the lines of a request with two decisions.
+func lines(id string, badly bool) []string {
+	var out bytes.Buffer
+	t := trail.New(start, id)
+	t.Add(start, "admitted", "route", "r1")
+	t.Add(start.Add(30*time.Millisecond), "answered", "status", 503)
+	t.Write(slog.New(slog.NewTextHandler(&out, nil)), badly)
+	return strings.Split(strings.TrimSpace(out.String()), "\n")
+}
+
+func TestTrail(t *testing.T) {
+	t.Run("a request that ends badly is explained from its id", func(t *testing.T) {
+		got := lines("77", true)
+		assert.Equal(t, len(got), 2)
+		for _, l := range got {
+			assert.Assert(t, strings.Contains(l, "id=77"), l)
+		}
+		assert.Assert(t, strings.Contains(got[1], "event=answered") && strings.Contains(got[1], "afterMillis=30"), got[1])
+	})
+	t.Run("one that ends well only where it is sampled", func(t *testing.T) {
+		sampled := 0
+		for i := range 6400 {
+			id := fmt.Sprint(i)
+			wrote := len(lines(id, false)) == 2
+			assert.Equal(t, wrote, trail.Sampled(id))
+			if wrote {
+				sampled++
+			}
+		}
+		assert.Assert(t, sampled > 50 && sampled < 200, "%d of 6400 sampled", sampled)
+	})
+}
