--- a/edged/pkg/mesh/mesh.go
+++ b/edged/pkg/mesh/mesh.go
@@ -45,6 +45,9 @@
 	smallFleet = 20
 	// nearPerTick is how many hosts of its region a host speaks to in one tick of a large fleet.
 	nearPerTick = 2
+	// nearLongest is the longest time between beats to a host of the region: two fit into farLiveFor, by which large fleets go, and most of one into into
+	// the time for which a report counts.
+	nearLongest = 1200 * time.Millisecond
 	// farFew is how many hosts of other regions a host speaks to at a time in a large fleet.
 	farFew      = 2
 	maxDatagram = 60 << 10
@@ -410,7 +413,7 @@
 			near++
 		}
 	}
-	return tickEvery * time.Duration(1+near/nearPerTick)
+	return min(nearLongest, tickEvery*time.Duration(1+near/nearPerTick))
 }
 
 // farTargets returns the hosts of other regions that are due: all in turn in a small fleet, else a few.
--- a/edged/pkg/mesh/mesh_test.go
+++ b/edged/pkg/mesh/mesh_test.go
@@ -204,3 +204,17 @@
 		assert.Equal(t, resp.StatusCode, http.StatusServiceUnavailable)
 	})
 }
+
+// TestLargeRegion has more hosts than each speaks to ten times a second.
+func TestLargeRegion(t *testing.T) {
+	const hosts = 200
+	m := newMesh(t, 0)
+	for i := 2; i <= hosts; i += 2 {
+		hear(t, m, i, start, nil)
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	assert.Assert(t, m.big())
+	every := m.nearEvery(false)
+	assert.Assert(t, 2*every < farLiveFor, "a lost beat makes a host silent: %s", every)
+}
