--- a/edged/pkg/mesh/mesh.go
+++ b/edged/pkg/mesh/mesh.go
@@ -45,8 +45,8 @@
 	smallFleet = 20
 	// nearPerTick is how many hosts of its region a host speaks to in one tick of a large fleet.
 	nearPerTick = 2
-	// nearLongest is the longest time between beats to a host of the region: two fit into farLiveFor, by which large fleets go, and most of one into into
-	// the time for which a report counts.
+	// nearLongest is the longest time between beats to a host of the region: one may be lost within
+	// farLiveFor, by which large fleets go, and a report counts until the next one.
 	nearLongest = 1200 * time.Millisecond
 	// farFew is how many hosts of other regions a host speaks to at a time in a large fleet.
 	farFew      = 2
