A fault soak of real processes; wait for connections that are being accepted at a stop

soak: edged processes, stand-ins, seeded kills, suspensions, stops, store and backend faults; checks at most once, true rejections, whole answers, leaving backend servers, planned stops. Cause by reading: a connection between the listener and the server's list when both close; not confirmed by a trace. Change: the server is asked to finish a second time 0.1 s later.

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 # Needs Go and make. Everything is built into .build.
-MODULES := lib steerd entryd rosectl standin platform edged simul
-PROGRAMS := steerd entryd rosectl standin edged simul
+MODULES := lib steerd entryd rosectl standin platform edged simul soak
+PROGRAMS := steerd entryd rosectl standin edged simul soak
 
 .PHONY: build test demo bench capacity docs
 
@@ -19,7 +19,7 @@
 
 # Writes the pages in docs/commands from the commands' help.
 docs:
-	UPDATE_DOCS=1 go test -count=1 -run TestDocs ./steerd/cmds ./entryd/cmds ./rosectl/cmds ./standin/cmds ./edged/cmds ./simul/cmds
+	UPDATE_DOCS=1 go test -count=1 -run TestDocs ./steerd/cmds ./entryd/cmds ./rosectl/cmds ./standin/cmds ./edged/cmds ./simul/cmds ./soak/cmds
 
 bench: build
 	go test -run '^$$' -bench 'Overhead|Lookup|Stops|Loss|AtMostOnce|Spread' -benchtime 1x -timeout 20m ./standin/pkg/fleet
--- a/edged/cmds/process.go
+++ b/edged/cmds/process.go
@@ -34,6 +34,8 @@
 	joinWait  = time.Second
 	// acceptAfterStop is how long a stopping host still takes requests: callers keep look-ups for seconds.
 	acceptAfterStop = 2500 * time.Millisecond
+	// acceptSettle is how long a connection may be between the listener and the server's list.
+	acceptSettle = 100 * time.Millisecond
 	// stopMargin is how much before the end of the grace time the process ends.
 	stopMargin = 500 * time.Millisecond
 	// memoryUse is the part of the process's memory at which the collector works harder.
@@ -279,7 +281,10 @@
 	}
 	end, cancel := context.WithDeadline(ctx, begin.Add(seconds(p.reloaded.Load().GraceSeconds)-stopMargin))
 	defer cancel()
-	if err := front.Shutdown(end); err != nil {
+	err := front.Shutdown(end)
+	// A connection that was being accepted when the listener closed is known to the server only now.
+	time.Sleep(acceptSettle)
+	if err = errors.Join(err, front.Shutdown(end)); err != nil {
 		p.log.Warn("requests cut by the end of the grace time", "event", "cut", "inFlight", p.gate.InFlight(), "error", err)
 	}
 	return errStopped
--- /dev/null
+++ b/soak/pkg/drill/faults.go
@@ -0,0 +1,81 @@
+package drill
+
+import (
+	"context"
+	"syscall"
+	"time"
+
+	"rosemarygrade.dev/platform/stand"
+)
+
+type trouble struct {
+	name string
+	run  func(ctx context.Context)
+}
+
+// Times of faults.
+const (
+	shortFault = time.Second
+	longFault  = 2 * time.Second
+	faultsMost = 16
+)
+
+// faults is the table of all faults.
+func (d *drill) faults() []trouble {
+	f := d.fleet
+	answers := []stand.Fault{
+		stand.FaultLost, stand.FaultShort, stand.FaultGarbage, stand.FaultExtra, stand.FaultShed, stand.FaultError,
+	}
+	list := make([]trouble, 0, faultsMost)
+	list = append(list, []trouble{
+		{"kill", func(ctx context.Context) { f.restart(ctx, d.host(), syscall.SIGKILL) }},
+		{"planned stop", func(ctx context.Context) { f.restart(ctx, d.host(), syscall.SIGTERM) }},
+		{"suspend", func(ctx context.Context) {
+			f.suspend(ctx, d.host(), shortFault+time.Duration(d.rng.IntN(1000))*time.Millisecond)
+		}},
+		{"settings signal", func(context.Context) { f.signal(d.host(), syscall.SIGHUP) }},
+		{"store away", func(ctx context.Context) {
+			f.store.SetAway(true)
+			sleep(ctx, longFault)
+			f.store.SetAway(false)
+		}},
+		{"store deaf", func(ctx context.Context) {
+			f.store.SetDeaf(true)
+			f.configure()
+			sleep(ctx, longFault)
+			f.store.SetDeaf(false)
+		}},
+		{"configuration", func(context.Context) { f.configure() }},
+		{"leaving backend server", d.leave},
+		{"drained data centre", func(ctx context.Context) {
+			f.store.Set(stand.KindDrains, zones[0], "{}")
+			sleep(ctx, longFault)
+			f.store.Remove(stand.KindDrains, zones[0])
+		}},
+	}...)
+	for _, x := range answers {
+		list = append(list, trouble{"backend servers: " + string(x), func(ctx context.Context) {
+			t := f.targets[d.rng.IntN(len(f.targets))]
+			t.SetFault(x)
+			sleep(ctx, shortFault)
+			t.SetFault(stand.FaultNone)
+		}})
+	}
+	return list
+}
+
+// host chooses a host for a fault; the first is spared, so that some host always serves.
+func (d *drill) host() *host { return d.fleet.hosts[1+d.rng.IntN(len(d.fleet.hosts)-1)] }
+
+// leave lets a backend server say that it leaves, and checks that it gets no work after its time.
+func (d *drill) leave(ctx context.Context) {
+	i := d.rng.IntN(len(d.fleet.targets))
+	d.fleet.declare(i, "draining")
+	sleep(ctx, leaveWait)
+	before := d.fleet.targets[i].Total()
+	sleep(ctx, shortFault)
+	if after := d.fleet.targets[i].Total(); ctx.Err() == nil && after != before {
+		d.wrong("backend server %d got %d requests after its time", i, after-before)
+	}
+	d.fleet.declare(i, "ready")
+}
