Turned-away callers come back at once where there is room; nothing waits that no backend server may take

And a request whose backend servers were all tried or left out waited in the queue until its time was over. Change: Retry-After 50 ms where the answer tells of room, 250 ms else. Turned away at once where no backend server may take the request. The model has failing backend servers and the repeat budget now.

--- a/edged/pkg/gate/gate.go
+++ b/edged/pkg/gate/gate.go
@@ -278,24 +278,33 @@
 		if g.mayRepeat(x) {
 			return nil, nil, true
 		}
-		return nil, g.turnedAway(x, retryShed, "backend server full"), false
+		return nil, g.turnedAway(x, spread(g.table.ShedPause(head.Load)), "backend server did not run it"), false
 	case a.Head().Status < http.StatusMultipleChoices && (!head.Signed || head.AttemptID != x.req.ID):
 		a.Close(false)
 		x.ran = true
 		g.done(x, b, took, pick.Failed, heads.Load{})
 		x.trail.Add(time.Now(), "notTrusted", "backend", b.ID(), "status", a.Head().Status, "signed", head.Signed)
 		return g.again(x, "answer of another request")
-	case a.Head().Status >= http.StatusInternalServerError && x.route.Idempotent():
+	case a.Head().Status >= http.StatusInternalServerError:
 		x.ran = true
-		if a.Rest() == nil && g.mayRepeat(x) {
-			g.done(x, b, took, pick.Failed, head.Load)
+		g.done(x, b, took, outcomeOf(a.Head().Status), head.Load)
+		if x.route.Idempotent() && a.Rest() == nil && g.mayRepeat(x) {
 			return nil, nil, true
 		}
+		return a, nil, false
 	}
 	g.done(x, b, took, pick.Answered, head.Load)
 	return a, nil, false
 }
 
+// outcomeOf judges a backend server's own failure: 504 tells only that the time was over.
+func outcomeOf(status int) pick.Outcome {
+	if status == http.StatusGatewayTimeout {
+		return pick.TimedOut
+	}
+	return pick.Failed
+}
+
 // count counts a send.
 func (g *Gate) count(x *exchange, c pick.Chosen) {
 	g.meter.Add(meter.Sends, 1)
@@ -317,9 +326,6 @@
 	}
 }
 
-// retryShed is when a backend server that turned a request away may have room.
-const retryShed = 250 * time.Millisecond
-
 func (g *Gate) done(x *exchange, b *plan.Backend, took time.Duration, o pick.Outcome, load heads.Load) {
 	now := time.Now()
 	if g.table.Done(now, b, &x.query, took, o, load) {
@@ -340,7 +346,11 @@
 		x.ran = true
 	}
 	if ctx.Err() != nil {
-		g.done(x, b, took, pick.Left, heads.Load{})
+		o := pick.Left
+		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+			o = pick.TimedOut
+		}
+		g.done(x, b, took, o, heads.Load{})
 		return nil, g.late(x), false
 	}
 	g.done(x, b, took, pick.Failed, heads.Load{})
@@ -357,7 +367,7 @@
 		return nil, nil, true
 	}
 	if !x.ran {
-		return nil, g.turnedAway(x, retryShed, reason), false
+		return nil, g.turnedAway(x, spread(g.table.ShedPause(heads.Load{})), reason), false
 	}
 	return nil, refused(http.StatusBadGateway, 0, reason), false
 }
@@ -371,7 +381,7 @@
 	if x.ran {
 		return refused(http.StatusGatewayTimeout, 0, "timeout")
 	}
-	return refused(http.StatusServiceUnavailable, retryShed, "no send in time")
+	return refused(http.StatusServiceUnavailable, spread(g.table.ShedPause(heads.Load{})), "no send in time")
 }
 
 // turnedAway answers a request that no backend server takes now.
--- a/edged/pkg/pick/option.go
+++ b/edged/pkg/pick/option.go
@@ -134,12 +134,24 @@
 // usable tells whether a backend server may get a request now.
 func (t *Table) usable(now time.Time, s *server, q *Query) bool {
 	b := s.backend
-	if !q.Allows(b.Region()) || slices.Contains(q.Tried, b.Key()) || now.Before(s.outUntil) {
+	if !allowed(b, q) || now.Before(s.outUntil) {
 		return false
 	}
 	return !b.Cold(now) || (!now.Before(s.coldNext) && t.fleet.Keeper(b))
 }
 
+func allowed(b *plan.Backend, q *Query) bool {
+	return q.Allows(b.Region()) && !slices.Contains(q.Tried, b.Key())
+}
+
+// opens tells whether some backend server that can't be used now may be in a moment: a cold one that this host
+// sends to.
+func (t *Table) opens(now time.Time, v *plan.View, q *Query) bool {
+	return slices.ContainsFunc(v.Usable(q.Service), func(b *plan.Backend) bool {
+		return allowed(b, q) && b.Cold(now) && t.fleet.Keeper(b)
+	})
+}
+
 // unit spreads a hash over 0 to 1.
 func unit(h uint64) float64 {
 	const (
--- a/edged/pkg/pick/pick.go
+++ b/edged/pkg/pick/pick.go
@@ -87,6 +87,8 @@
 	Shed
 	// Failed means that no whole answer came, or a failure.
 	Failed
+	// TimedOut means that the time limit ended the run.
+	TimedOut
 	// Left means that this side broke off.
 	Left
 )
@@ -100,6 +102,8 @@
 		return "notRun"
 	case Failed:
 		return "failed"
+	case TimedOut:
+		return "timedOut"
 	default:
 		return "left"
 	}
@@ -254,6 +258,9 @@
 	}
 	svc := t.service(q.Service)
 	o, ok := t.best(now, v, svc, &q)
+	if !ok && !t.opens(now, v, &q) {
+		return Full{After: outFor, Why: t.why(now, svc, o)}
+	}
 	if ok && o.now {
 		why := t.why(now, svc, o)
 		t.start(now, v, svc, o.server, &q)
@@ -348,7 +355,7 @@
 			k.result <- Chosen{Backend: o.server.backend, Why: why}
 			continue
 		}
-		if left := k.query.Deadline.Sub(now); left < svc.least() || (!ok && len(v.Usable(k.query.Service)) == 0) {
+		if left := k.query.Deadline.Sub(now); left < svc.least() || (!ok && !t.opens(now, v, &k.query)) {
 			k.result <- Full{After: svc.wait(now, len(svc.queue)), Why: t.why(now, svc, o)}
 			continue
 		}
--- a/edged/pkg/pick/pick_test.go
+++ b/edged/pkg/pick/pick_test.go
@@ -182,6 +182,40 @@
 		}
 		assert.Assert(t, chosen(t, table.Choose(start, v, query(1))) != first)
 	})
+	t.Run("a request that no backend server may take is turned away at once", func(t *testing.T) {
+		table, v := New(DefaultRules(), testFleet{}), view(1, nil)
+		q := query(1)
+		q.Tried = []string{v.Usable("alpha")[0].Key()}
+		f, full := table.Choose(start, v, q).(Full)
+		assert.Assert(t, full)
+		assert.Assert(t, f.After > 0)
+	})
+	t.Run("a request that waits when the last one is left out is turned away", func(t *testing.T) {
+		table, v := New(DefaultRules(), testFleet{}), view(1, nil)
+		var busy []*plan.Backend
+		for object := uint64(1); ; object++ {
+			c, ok := table.Choose(start, v, query(object)).(Chosen)
+			if !ok {
+				break
+			}
+			busy = append(busy, c.Backend)
+		}
+		q, ok := table.Choose(start, v, query(1)).(Queued)
+		assert.Assert(t, ok)
+		for range failuresOut {
+			lost := query(1)
+			table.Done(start, busy[0], &lost, 0, Failed, Load{})
+		}
+		table.Drain(start, v, "alpha")
+		_, full := (<-q.Ticket.Result()).(Full)
+		assert.Assert(t, full)
+	})
+	t.Run("who was turned away comes back sooner where there was room", func(t *testing.T) {
+		table := New(DefaultRules(), testFleet{})
+		room, full := Load{Known: true, Running: 1, Slots: 2}, Load{Known: true, Running: 2, Slots: 2}
+		assert.Assert(t, table.ShedPause(room) < table.ShedPause(full))
+		assert.Equal(t, table.ShedPause(Load{}), table.ShedPause(full))
+	})
 	t.Run("one that was tried is not tried again", func(t *testing.T) {
 		table, v := New(DefaultRules(), testFleet{}), view(2, nil)
 		q := query(1)
--- a/edged/pkg/pick/queue.go
+++ b/edged/pkg/pick/queue.go
@@ -90,3 +90,11 @@
 		s.queue = slices.Delete(s.queue, i, i+1)
 	}
 }
+
+// ShedPause returns when a caller may come back whose request a backend server did not run.
+func (t *Table) ShedPause(l Load) time.Duration {
+	if l.Known && l.Waiting == 0 && l.Running < l.Slots {
+		return t.rules.RetryRoom
+	}
+	return t.rules.RetryFull
+}
--- a/edged/pkg/pick/rules.go
+++ b/edged/pkg/pick/rules.go
@@ -20,6 +20,9 @@
 	LateShare float64
 	// Hold makes a request wait for the first run of its object where that is sooner than a run of its own.
 	Hold bool
+	// RetryFull is when a caller may come back whose request a full backend server turned away; RetryRoom the same
+	// for one that has room, so that another may take it: the sooner, the more of the objective is left.
+	RetryFull, RetryRoom time.Duration
 	// FarTime is the time of the way to another region and back that is assumed: 40 and 70 ms at the users'.
 	FarTime time.Duration
 }
@@ -34,6 +37,8 @@
 		WorkWeight: 1,
 		LateShare:  0.25,
 		Hold:       true,
+		RetryFull:  250 * time.Millisecond,
+		RetryRoom:  50 * time.Millisecond,
 		FarTime:    50 * time.Millisecond,
 	}
 }
--- a/edged/pkg/pick/server.go
+++ b/edged/pkg/pick/server.go
@@ -98,8 +98,7 @@
 	s.own--
 	_, warm := s.warm[q.Object]
 	if q.Sticky {
-		if begun, ok := s.running[q.Object]; ok && !warm {
-			_ = begun
+		if !warm {
 			delete(s.running, q.Object)
 		}
 		if o == Answered {
@@ -118,7 +117,7 @@
 		if s.failures >= failuresOut {
 			s.outUntil = now.Add(outFor)
 		}
-	case Shed, Left:
+	case Shed, TimedOut, Left:
 	}
 	return warm
 }
--- a/simul/pkg/polic/polic.go
+++ b/simul/pkg/polic/polic.go
@@ -67,6 +67,8 @@
 		r.WorkWeight = n
 	case "lateShare":
 		r.LateShare = n
+	case "retryRoomMillis":
+		r.RetryRoom = time.Duration(n * float64(time.Millisecond))
 	case "farMillis":
 		r.FarTime = time.Duration(n * float64(time.Millisecond))
 	default:
--- a/simul/pkg/scene/scene.go
+++ b/simul/pkg/scene/scene.go
@@ -60,6 +60,9 @@
 	LateWorth       float64 `json:"lateWorth"`
 	Retries         int     `json:"retries"`
 	Idempotent      bool    `json:"idempotent"`
+	// RepeatRatio and RepeatSlack bound the repeats of all hosts in any 10 s; no ratio means no bound.
+	RepeatRatio float64 `json:"repeatRatio,omitempty"`
+	RepeatSlack float64 `json:"repeatSlack,omitempty"`
 }
 
 // Wave is how the load of each data centre swings.
@@ -70,7 +73,7 @@
 
 // Event is something that happens.
 type Event struct {
-	// What is burst, move, slow, cold or hostsGone.
+	// What is burst, move, slow, cold, hostsGone, shed or err.
 	What       string  `json:"what"`
 	AtSeconds  float64 `json:"atSeconds"`
 	ForSeconds float64 `json:"forSeconds"`
@@ -89,8 +92,16 @@
 	WhatSlow      = "slow"
 	WhatCold      = "cold"
 	WhatHostsGone = "hostsGone"
+	// WhatShed lets a share of the backend servers turn away a part of their requests although they have room,
+	// WhatErr lets them answer with failures.
+	WhatShed = "shed"
+	WhatErr  = "err"
 )
 
+func whats() []string {
+	return []string{WhatBurst, WhatMove, WhatSlow, WhatCold, WhatHostsGone, WhatShed, WhatErr}
+}
+
 // Scene is a load pattern.
 type Scene struct {
 	Name            string       `json:"name"`
@@ -145,7 +156,7 @@
 		return err
 	}
 	for _, e := range s.Events {
-		if !slices.Contains([]string{WhatBurst, WhatMove, WhatSlow, WhatCold, WhatHostsGone}, e.What) {
+		if !slices.Contains(whats(), e.What) {
 			return fault.New("scene", KindField, "unknown event "+e.What)
 		}
 	}
--- a/simul/pkg/world/backend.go
+++ b/simul/pkg/world/backend.go
@@ -18,7 +18,8 @@
 	warm       map[uint64]time.Duration
 	noisy      bool
 	noiseUntil time.Duration
-	slowBy     float64
+	// slowBy and failBy decide whether an event that meets a share of the backend servers meets this one.
+	slowBy, failBy float64
 }
 
 // send is one request at one backend server.
@@ -33,7 +34,7 @@
 }
 
 func newBackend(w *World, dataCentre string) *backend {
-	return &backend{world: w, dataCentre: dataCentre, warm: map[uint64]time.Duration{}, slowBy: w.rng.Float64()}
+	return &backend{world: w, dataCentre: dataCentre, warm: map[uint64]time.Duration{}, slowBy: w.rng.Float64(), failBy: w.rng.Float64()}
 }
 
 // slowness returns how much longer than usual work takes now.
@@ -60,11 +61,30 @@
 	return factor
 }
 
+// fails draws whether an event makes the backend server fail the next request.
+func (b *backend) fails(what string) bool {
+	for _, e := range b.world.active(what) {
+		if b.failBy < e.Share && b.world.rng.Float64() < e.Factor {
+			return true
+		}
+	}
+	return false
+}
+
 // take takes a request from a host.
 func (b *backend) take(s *send) {
 	if s.ended {
 		return
 	}
+	if b.fails(scene.WhatShed) {
+		b.answer(s, pick.Shed)
+		return
+	}
+	if b.fails(scene.WhatErr) {
+		s.req.ran = true
+		b.answer(s, pick.Failed)
+		return
+	}
 	if b.running < b.world.scene.Backend.Slots {
 		b.work(s)
 		return
--- a/simul/pkg/world/caller.go
+++ b/simul/pkg/world/caller.go
@@ -24,8 +24,10 @@
 	retries int
 	tried   []string
 	done    bool
-	active  *send
-	ticket  *pick.Ticket
+	// ran tells that a backend server may have run it.
+	ran    bool
+	active *send
+	ticket *pick.Ticket
 }
 
 // attemptsMost is how many backend servers one request may be sent to.
@@ -85,7 +87,7 @@
 		w.result.failed(w, r)
 		return
 	}
-	r.tried, r.done = nil, false
+	r.tried, r.done, r.ran = nil, false, false
 	r.query = pick.Query{
 		Service: Service, Region: h.region, Allows: func(string) bool { return true }, Object: r.object, Sticky: true,
 		Objective: w.time().Add(millis(work.ObjectiveMillis)), Deadline: w.time().Add(limit),
@@ -94,6 +96,7 @@
 	current := &attempt
 	w.order++
 	current.order = w.order
+	h.repeats.Asked(w.time(), Service)
 	w.after(limit, func() { w.timeout(h, current) })
 	w.decide(h, current)
 }
@@ -146,7 +149,7 @@
 		return
 	}
 	s.ended = true
-	r := s.req
+	r, work := s.req, w.scene.Work
 	r.active = nil
 	s.host.table.Done(w.time(), s.backend, &r.query, w.time().Sub(s.begun), o, load)
 	s.host.table.Drain(w.time(), w.view, Service)
@@ -155,13 +158,20 @@
 	case o == pick.Answered:
 		r.done = true
 		w.result.served(w, r)
-	case len(r.tried) < attemptsMost:
+	case (work.Idempotent || !r.ran) && len(r.tried) < attemptsMost && w.mayRepeat(s.host):
 		w.decide(s.host, r)
+	case r.ran && !work.Idempotent:
+		r.done = true
+		w.result.failed(w, r)
 	default:
-		w.refused(r, 0)
+		w.refused(r, s.host.table.ShedPause(load))
 	}
 }
 
+func (w *World) mayRepeat(h *host) bool {
+	return w.scene.Work.RepeatRatio == 0 || h.repeats.Take(w.time(), Service, len(w.hosts))
+}
+
 // refused lets the caller come back once.
 func (w *World) refused(r *request, after time.Duration) {
 	if r.done {
@@ -194,7 +204,7 @@
 	if s := r.active; s != nil {
 		s.ended = true
 		w.backends[s.backend.ID()].cancel(s)
-		h.table.Done(w.time(), s.backend, &r.query, 0, pick.Left, pick.Load{})
+		h.table.Done(w.time(), s.backend, &r.query, w.time().Sub(s.begun), pick.TimedOut, pick.Load{})
 	}
 	if r.retries > 0 && w.scene.Work.Idempotent {
 		next := *r
--- a/simul/pkg/world/patterns_test.go
+++ b/simul/pkg/world/patterns_test.go
@@ -45,6 +45,10 @@
 	assertBetter(t, "regionalWaves", "freeShare=0", "default")
 }
 func TestParkedAtBackends(t *testing.T) { assertBetter(t, "regionalWaves", "parked=0", "default") }
+func TestAllBackendsShed(t *testing.T) {
+	assertBetter(t, "allBackendsShed", "retryRoomMillis=250", "default")
+}
+
 func TestSameSeedSamePlay(t *testing.T) {
 	s, err := scene.Load(filepath.Join("..", "..", "scenarios", "burstOfOneZone.json"))
 	assert.NilError(t, err)
--- a/simul/pkg/world/world.go
+++ b/simul/pkg/world/world.go
@@ -17,6 +17,9 @@
 // Service is the name of the one service of a scene.
 const Service = "service"
 
+// repeatSeconds is the window of the repeat budget, as in the product's settings.
+const repeatSeconds = 10
+
 // epoch is the time at which each play begins.
 var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 
@@ -68,6 +71,7 @@
 	name, dataCentre, region string
 	table                    *pick.Table
 	waiting                  map[*pick.Ticket]*request
+	repeats                  *pick.Repeats
 	gone                     bool
 }
 
@@ -114,7 +118,9 @@
 		for i := range d.Hosts {
 			w.hosts = append(w.hosts, &host{
 				name: fmt.Sprintf("%s-%d", d.Name, i), dataCentre: d.Name, region: d.Region,
-				table: pick.New(rules, w), waiting: map[*pick.Ticket]*request{},
+				table: pick.New(rules, w), waiting: map[*pick.Ticket]*request{}, repeats: pick.NewRepeats(pick.BudgetRule{
+					Window: seconds(repeatSeconds), Ratio: w.scene.Work.RepeatRatio, Slack: w.scene.Work.RepeatSlack,
+				}),
 			})
 		}
 	}
