Limits of callers' connections follow the configuration; a body that does not come is answered in time; requests without a route leave lines

Cause: header size, header time and idle time were constants; a caller that sent its body slowly held its request beyond the route's timeout, unanswered; a 404 had no line by which its cause (which version) could be found.

--- a/edged/cmds/fleet_test.go
+++ b/edged/cmds/fleet_test.go
@@ -313,6 +313,14 @@
 	})
 }
 
+func TestSlowBody(t *testing.T) {
+	f := newFleet(t)
+	f.start(1)
+	line, closed := raw(t, f.hosts[0], "POST /short/x HTTP/1.1\r\nHost: web.example\r\nContent-Length: 10\r\n\r\nabc")
+	assert.Equal(t, line, "HTTP/1.1 408 Request Timeout")
+	assert.Assert(t, closed)
+}
+
 // raw sends bytes and returns the first line of the answer and whether the connection was closed after it.
 func raw(t *testing.T, h *testHost, text string) (string, bool) {
 	t.Helper()
--- a/edged/cmds/process.go
+++ b/edged/cmds/process.go
@@ -15,6 +15,7 @@
 
 	"rosemarygrade.dev/edged/pkg/conns"
 	"rosemarygrade.dev/edged/pkg/follow"
+	"rosemarygrade.dev/edged/pkg/front"
 	"rosemarygrade.dev/edged/pkg/gate"
 	"rosemarygrade.dev/edged/pkg/mesh"
 	"rosemarygrade.dev/edged/pkg/meter"
@@ -34,19 +35,13 @@
 	joinWait  = time.Second
 	// acceptAfterStop is how long a stopping host still takes requests: callers keep look-ups for seconds.
 	acceptAfterStop = 2500 * time.Millisecond
-	// acceptSettle is how long a connection may be between the listener and the server's list.
-	acceptSettle = 100 * time.Millisecond
 	// stopMargin is how much before the end of the grace time the process ends.
 	stopMargin = 500 * time.Millisecond
 	// memoryUse is the part of the process's memory at which the collector works harder.
 	memoryUse = 0.6
 	// gcPercent keeps the heap small: memory is dear and the heap is a few megabytes.
 	gcPercent = 50
-	// Limits of callers' connections while no configuration is known.
-	headerWait  = 3 * time.Second
-	idleWait    = 60 * time.Second
-	headerBytes = 16 << 10
-	megabyte    = 1 << 20
+	megabyte  = 1 << 20
 )
 
 // process holds the parts of an edged.
@@ -60,6 +55,7 @@
 	pool     *conns.Pool
 	mesh     *mesh.Mesh
 	gate     *gate.Gate
+	front    *front.Front
 	source   plan.Source
 	stopping atomic.Bool
 	meter    *meter.Set
@@ -127,8 +123,8 @@
 		return err
 	}
 	g := serve.NewGroup(context.WithoutCancel(ctx))
-	front := &http.Server{Handler: p.gate, ReadHeaderTimeout: headerWait, IdleTimeout: idleWait, MaxHeaderBytes: headerBytes}
-	g.Go(func(context.Context) error { return serveFront(front, listeners[0]) })
+	p.front = front.New(p.gate, listeners[0])
+	g.Go(p.front.Run)
 	g.HTTP(listeners[1], http.HandlerFunc(p.ready))
 	g.HTTP(listeners[2], http.HandlerFunc(p.lookup))
 	g.HTTP(listeners[3], p.mesh.Handler())
@@ -152,7 +148,7 @@
 		case <-life.Done():
 			return nil
 		}
-		return p.stop(life, front)
+		return p.stop(life)
 	})
 	p.log.Info("started", "event", "start", "caller", s.CallerAddress, "store", s.StoreAddress)
 	err = g.Wait()
@@ -170,13 +166,6 @@
 		p.settings.AdminAddress, metrics)
 }
 
-func serveFront(front *http.Server, l net.Listener) error {
-	if err := front.Serve(l); !errors.Is(err, http.ErrServerClosed) {
-		return err
-	}
-	return nil
-}
-
 // beat tells other hosts of this one, at once when something was declared.
 func (p *process) beat(ctx context.Context) error {
 	t := time.NewTicker(beatEvery)
@@ -191,12 +180,25 @@
 			urgent = true
 		}
 		now := time.Now()
+		p.applyLimits()
 		p.mesh.SetServing(p.isReady())
 		p.mesh.Tick(now, urgent)
 		p.table.DrainAll(now, p.state.View())
 	}
 }
 
+// applyLimits puts the configuration's limits for callers' connections into force.
+func (p *process) applyLimits() {
+	c := p.state.View().Config()
+	if c == nil {
+		return
+	}
+	if l := c.Limits(); p.front.SetLimits(l) {
+		p.log.Info("limits of connections", "event", "limits", "version", c.Version(), "headerBytes", l.HeaderBytes,
+			"headerMillis", l.HeaderTimeout.Milliseconds(), "idleMillis", l.IdleTimeout.Milliseconds(), "bodyBytes", l.BodyBytes)
+	}
+}
+
 // join declares this host in the store.
 func (p *process) join(ctx context.Context) error {
 	for ctx.Err() == nil {
@@ -268,7 +270,7 @@
 var errStopped = errors.New("stopped")
 
 // stop ends the process without cutting a request.
-func (p *process) stop(ctx context.Context, front *http.Server) error {
+func (p *process) stop(ctx context.Context) error {
 	begin := time.Now()
 	p.log.Info("stopping", "event", "stopping", "inFlight", p.gate.InFlight())
 	p.stopping.Store(true)
@@ -281,10 +283,7 @@
 	}
 	end, cancel := context.WithDeadline(ctx, begin.Add(seconds(p.reloaded.Load().GraceSeconds)-stopMargin))
 	defer cancel()
-	err := front.Shutdown(end)
-	// A connection that was being accepted when the listener closed is known to the server only now.
-	time.Sleep(acceptSettle)
-	if err = errors.Join(err, front.Shutdown(end)); err != nil {
+	if err := p.front.Shutdown(end); err != nil {
 		p.log.Warn("requests cut by the end of the grace time", "event", "cut", "inFlight", p.gate.InFlight(), "error", err)
 	}
 	return errStopped
--- /dev/null
+++ b/edged/pkg/front/front.go
@@ -0,0 +1,183 @@
+// Package front takes callers' connections and serves each within the limits that are in force when it is opened.
+package front
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"rosemarygrade.dev/lib/pkg/fault"
+	"rosemarygrade.dev/lib/pkg/plan"
+)
+
+// Kind is the kind of an error of the package.
+type Kind string
+
+// Kinds of errors.
+const (
+	// KindAccept means that no more connections can be taken.
+	KindAccept Kind = "accept"
+	// KindStop means that requests were cut by the end of a stop.
+	KindStop Kind = "stop"
+)
+
+// Error is the error type of the package.
+type Error = fault.Error[Kind]
+
+// Limits while the configuration says nothing: those of the users' sites, the idle time a multiple of theirs.
+const (
+	defaultHeaderWait  = 3 * time.Second
+	defaultIdleWait    = 60 * time.Second
+	defaultHeaderBytes = 16 << 10
+)
+
+// acceptPause is the pause after a connection that could not be taken, such as for want of descriptors.
+const acceptPause = 10 * time.Millisecond
+
+// acceptSettle is how long a connection may be between the listener and its server's list: a scheduling delay.
+const acceptSettle = 100 * time.Millisecond
+
+// Front serves callers. It is safe for concurrent use.
+type Front struct {
+	handler  http.Handler
+	listener net.Listener
+	// taken is closed when no more connections are taken.
+	taken chan struct{}
+
+	mu      sync.Mutex
+	limits  plan.Limits
+	current *lane
+	lanes   []*lane
+}
+
+// lane is a server with the connections that were opened under its limits.
+type lane struct {
+	server *http.Server
+	conns  chan net.Conn
+	closed chan struct{}
+	once   sync.Once
+	addr   net.Addr
+}
+
+// Accept implements net.Listener.
+func (l *lane) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.conns:
+		return c, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+// Close implements net.Listener.
+func (l *lane) Close() error {
+	l.once.Do(func() { close(l.closed) })
+	return nil
+}
+
+// Addr implements net.Listener.
+func (l *lane) Addr() net.Addr { return l.addr }
+
+// New returns a front on a listener. Nothing is taken before Run.
+func New(handler http.Handler, listener net.Listener) *Front {
+	f := &Front{handler: handler, listener: listener, taken: make(chan struct{})}
+	f.open(plan.Limits{})
+	return f
+}
+
+// SetLimits puts limits into force for connections that are opened from now on, and tells whether they are others
+// than before.
+func (f *Front) SetLimits(limits plan.Limits) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	// The length of bodies is checked for each request.
+	limits.BodyBytes = 0
+	if limits == f.limits {
+		return false
+	}
+	f.open(limits)
+	return true
+}
+
+// open starts a server with the limits. Earlier ones keep their connections.
+func (f *Front) open(limits plan.Limits) {
+	l := &lane{conns: make(chan net.Conn), closed: make(chan struct{}), addr: f.listener.Addr()}
+	l.server = &http.Server{
+		Handler: f.handler, ReadHeaderTimeout: defaultHeaderWait, IdleTimeout: defaultIdleWait, MaxHeaderBytes: defaultHeaderBytes,
+	}
+	if limits.HeaderTimeout > 0 {
+		l.server.ReadHeaderTimeout = limits.HeaderTimeout
+	}
+	if limits.IdleTimeout > 0 {
+		l.server.IdleTimeout = limits.IdleTimeout
+	}
+	if limits.HeaderBytes > 0 {
+		l.server.MaxHeaderBytes = limits.HeaderBytes
+	}
+	f.limits, f.current = limits, l
+	f.lanes = append(f.lanes, l)
+	go func() {
+		// It returns when the lane is closed, which its own Accept says.
+		_ = l.server.Serve(l)
+	}()
+}
+
+// Run takes connections until the front is shut down.
+func (f *Front) Run(context.Context) error {
+	defer close(f.taken)
+	for {
+		c, err := f.listener.Accept()
+		var temporary net.Error
+		switch {
+		case err == nil:
+			f.hand(c)
+		case errors.Is(err, net.ErrClosed):
+			return nil
+		case errors.As(err, &temporary):
+			time.Sleep(acceptPause)
+		default:
+			return fault.Wrap("accept", KindAccept, err)
+		}
+	}
+}
+
+// hand gives a connection to the server of the present limits.
+func (f *Front) hand(c net.Conn) {
+	f.mu.Lock()
+	l := f.current
+	f.mu.Unlock()
+	select {
+	case l.conns <- c:
+	case <-l.closed:
+		_ = c.Close()
+	}
+}
+
+// Shutdown takes no more connections and waits until all requests are answered or the context ends.
+func (f *Front) Shutdown(ctx context.Context) error {
+	err := f.listener.Close()
+	<-f.taken
+	err = errors.Join(err, f.finish(ctx))
+	// A connection that was being handed over is on its server's list only now.
+	time.Sleep(acceptSettle)
+	if err = errors.Join(err, f.finish(ctx)); err != nil {
+		return fault.Wrap("shutdown", KindStop, err)
+	}
+	return nil
+}
+
+func (f *Front) finish(ctx context.Context) error {
+	f.mu.Lock()
+	lanes := f.lanes
+	f.mu.Unlock()
+	var group sync.WaitGroup
+	errs := make([]error, len(lanes))
+	for i, l := range lanes {
+		group.Go(func() { errs[i] = l.server.Shutdown(ctx) })
+	}
+	group.Wait()
+	return errors.Join(errs...)
+}
--- a/edged/pkg/gate/gate.go
+++ b/edged/pkg/gate/gate.go
@@ -8,6 +8,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -93,38 +94,43 @@
 	}
 	v := g.env.View()
 	if v.Config() == nil {
-		g.answer(w, r, nil, refused(http.StatusServiceUnavailable, retryNoConfig, "no configuration is known yet"))
+		x := &exchange{start: now, trail: trail.New(now, g.speech.ReadCaller(r.Header).AttemptID)}
+		g.answer(w, x, refused(http.StatusServiceUnavailable, retryNoConfig, "no configuration is known yet"))
 		return
 	}
 	x, own := g.read(now, w, r, v)
-	if own == nil {
-		ctx, cancel := context.WithDeadline(r.Context(), x.deadline)
-		defer cancel()
-		a, o := g.run(ctx, x)
-		if a != nil {
-			g.finish(x, a.Head().Status >= http.StatusInternalServerError, "passed", "status", a.Head().Status)
-			g.pass(w, r, x, a)
-			return
+	if own != nil {
+		// The context has ended where the body came too late, but the caller is there.
+		if r.ContentLength != 0 {
+			w.Header().Set("Connection", "close")
 		}
-		own = o
+		g.answer(w, x, own)
+		return
 	}
-	if r.Context().Err() != nil {
+	ctx, cancel := context.WithDeadline(r.Context(), x.deadline)
+	defer cancel()
+	a, own := g.run(ctx, x)
+	switch {
+	case a != nil:
+		g.finish(x, a.Head().Status >= http.StatusInternalServerError, "passed", "status", a.Head().Status)
+		g.pass(w, r, x, a)
+	case r.Context().Err() != nil:
 		g.meter.Add(meter.CallerLeft, 1)
-		g.finish(x, true, "left", "ran", x != nil && x.ran)
+		g.finish(x, true, "left", "ran", x.ran)
 		panic(http.ErrAbortHandler)
+	default:
+		g.answer(w, x, own)
 	}
-	g.answer(w, r, x, own)
 }
 
 // finish ends the trail of a request and writes it where it must be explained.
 func (g *Gate) finish(x *exchange, badly bool, event string, attrs ...any) {
-	if x == nil {
-		return
-	}
 	now := time.Now()
 	x.trail.Add(now, event, append(attrs, "sends", len(x.tried))...)
 	x.trail.Write(g.log, badly)
-	g.meter.Took(x.service, now.Sub(x.start))
+	if x.service != "" {
+		g.meter.Took(x.service, now.Sub(x.start))
+	}
 }
 
 // retryNoConfig is when a host that has just started may know its configuration.
@@ -134,24 +140,22 @@
 func (g *Gate) read(now time.Time, w http.ResponseWriter, r *http.Request, v *plan.View) (*exchange, *ownAnswer) {
 	target := r.URL.RequestURI()
 	path, _, _ := strings.Cut(target, "?")
+	head := g.speech.ReadCaller(r.Header)
+	x := &exchange{start: now, trail: trail.New(now, head.AttemptID)}
 	route := v.Config().Route(hostOf(r.Host), path)
 	if route == nil {
-		return nil, refused(http.StatusNotFound, 0, "no route")
+		x.trail.Add(now, "noRoute", "host", r.Host, "path", path, "configVersion", v.Config().Version())
+		return x, refused(http.StatusNotFound, 0, "no route")
 	}
-	head := g.speech.ReadCaller(r.Header)
 	limit := route.Timeout()
 	if head.Patience > 0 {
 		limit = min(limit, head.Patience)
 	}
-	x := &exchange{route: route, start: now, deadline: now.Add(limit), trail: trail.New(now, head.AttemptID)}
+	x.route, x.deadline = route, now.Add(limit)
 	g.meter.Add(meter.Requests, 1)
-	body, err := readBody(w, r, v.Config().Limits().BodyBytes)
+	body, err := g.readBody(w, r, v.Config().Limits().BodyBytes, x.deadline)
 	if err != nil {
-		var tooLong *http.MaxBytesError
-		if errors.As(err, &tooLong) {
-			return nil, refused(http.StatusRequestEntityTooLarge, 0, "body too long")
-		}
-		return nil, refused(http.StatusBadRequest, 0, "body unreadable")
+		return x, unreadable(err)
 	}
 	x.req = conns.Request{ID: head.AttemptID, Method: r.Method, URI: target, Host: r.Host, Header: g.forwarded(r.Header), Body: body}
 	x.service = g.splits.Next(route)
@@ -173,17 +177,47 @@
 	return host
 }
 
-func readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, error) {
+// unreadable answers a request whose body did not come whole. It was not sent on.
+func unreadable(err error) *ownAnswer {
+	var tooLong *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLong):
+		return refused(http.StatusRequestEntityTooLarge, 0, "body too long")
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return refused(http.StatusRequestTimeout, 0, "body not sent in time")
+	default:
+		return refused(http.StatusBadRequest, 0, "body unreadable")
+	}
+}
+
+// readBody reads a request's body, which must have come by the deadline.
+func (g *Gate) readBody(w http.ResponseWriter, r *http.Request, limit int64, deadline time.Time) ([]byte, error) {
 	if r.ContentLength == 0 {
 		return nil, nil
 	}
+	control := http.NewResponseController(w)
+	if err := control.SetReadDeadline(deadline); err != nil {
+		g.log.Debug("no read deadline", "event", "deadline", "error", err)
+	}
 	body := http.MaxBytesReader(w, r.Body, limit)
+	var (
+		buf []byte
+		err error
+	)
 	if r.ContentLength > 0 && r.ContentLength <= limit {
-		buf := make([]byte, r.ContentLength)
-		_, err := io.ReadFull(body, buf)
-		return buf, err
+		buf = make([]byte, r.ContentLength)
+		_, err = io.ReadFull(body, buf)
+	} else {
+		buf, err = io.ReadAll(body)
 	}
-	return io.ReadAll(body)
+	if err != nil {
+		return nil, err
+	}
+	// From here on the connection is watched for the caller's leaving.
+	if err := control.SetReadDeadline(time.Time{}); err != nil {
+		g.log.Debug("no read deadline", "event", "deadline", "error", err)
+	}
+	return buf, nil
 }
 
 // hopHeaders concern only one connection.
@@ -403,7 +437,7 @@
 	return &ownAnswer{status: status, after: after, reason: reason}
 }
 
-func (g *Gate) answer(w http.ResponseWriter, r *http.Request, x *exchange, o *ownAnswer) {
+func (g *Gate) answer(w http.ResponseWriter, x *exchange, o *ownAnswer) {
 	counter := meter.Failed
 	if o.status == http.StatusServiceUnavailable {
 		counter = meter.Rejected
@@ -414,9 +448,6 @@
 	if o.after > 0 {
 		h.Set("Retry-After", strconv.FormatFloat(o.after.Seconds(), 'f', 3, 64))
 	}
-	if x == nil && r.ContentLength != 0 {
-		h.Set("Connection", "close")
-	}
 	h.Set("Content-Length", "0")
 	w.WriteHeader(o.status)
 }
