Hosts tell those of their region which objects are warm where

So the second host of a data centre chose between the two homes as if both were cold, and the mean of cold work was too low. Red first: pick.TestWarmIsTold (does not build without it).

--- a/edged/pkg/mesh/beat.go
+++ b/edged/pkg/mesh/beat.go
@@ -43,6 +43,8 @@
 	// Work holds for each backend server the count and, in the higher bits, ten times the slowness.
 	Work  map[uint32]uint32
 	Peers []string
+	// Warm holds backend servers and objects that they have handled, in turn.
+	Warm []uint32
 }
 
 // storeState is what a host knows of its way to the store.
@@ -77,6 +79,22 @@
 	return out
 }
 
+func packWarm(list []pick.Warmed) []uint32 {
+	out := make([]uint32, 0, 2*len(list))
+	for _, w := range list {
+		out = append(out, w.Server, w.Object)
+	}
+	return out
+}
+
+func unpackWarm(list []uint32) []pick.Warmed {
+	out := make([]pick.Warmed, 0, len(list)/2)
+	for i := 0; i+1 < len(list); i += 2 {
+		out = append(out, pick.Warmed{Server: list[i], Object: list[i+1]})
+	}
+	return out
+}
+
 func (b *beat) encode() ([]byte, error) { return msgpack.Marshal(b) }
 
 func decodeBeat(data []byte) (*beat, error) {
--- a/edged/pkg/mesh/send.go
+++ b/edged/pkg/mesh/send.go
@@ -11,6 +11,7 @@
 // Tick sends beats that are due. urgent sends to all of the region.
 func (m *Mesh) Tick(now time.Time, urgent bool) {
 	work := packWork(m.table.Notes(now))
+	warm := packWarm(m.table.Warmed(now, now.Add(-m.warmSpan())))
 	members := m.state.Members()
 	back := m.state.BackAge(now)
 	m.mu.Lock()
@@ -21,7 +22,7 @@
 	m.declared = len(members)
 	b := &beat{
 		Name: m.self.Name, DataCentre: m.self.DataCentre, Incarnation: m.inc, Serving: m.serving, Store: m.store,
-		BackMillis: back.Milliseconds(), Work: work,
+		BackMillis: back.Milliseconds(), Work: work, Warm: warm,
 	}
 	for _, t := range plan.Topics() {
 		b.Revisions = append(b.Revisions, m.state.Content(t))
@@ -63,6 +64,16 @@
 // big tells whether there are too many hosts for each to speak to all of them.
 func (m *Mesh) big() bool { return len(m.hosts) > smallFleet }
 
+// warmSpan is how long news of warm objects are told: one beat may be lost.
+func (m *Mesh) warmSpan() time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.big() {
+		return 2 * nearLongest
+	}
+	return unchangedEvery + tickEvery
+}
+
 // nearEvery returns the time between beats to one host of the region: the more hosts, the longer.
 func (m *Mesh) nearEvery(same bool) time.Duration {
 	if !m.big() {
@@ -126,12 +137,11 @@
 		data = &o.lean
 	}
 	if *data == nil {
-		work := o.beat.Work
+		b := *o.beat
 		if data == &o.lean {
-			o.beat.Work = nil
+			b.Work, b.Warm = nil, nil
 		}
-		*data = o.mesh.encode(o.beat, full)
-		o.beat.Work = work
+		*data = o.mesh.encode(&b, full)
 	}
 	o.mesh.send(h.address, *data)
 }
--- a/edged/pkg/pick/option.go
+++ b/edged/pkg/pick/option.go
@@ -72,7 +72,7 @@
 // option returns what becomes of a request at one backend server.
 func (t *Table) option(now time.Time, svc *service, s *server, q *Query) option {
 	slow := s.slow(now)
-	_, warm := s.warm[q.Object]
+	_, warm := s.warm[q.short()]
 	warm = warm && q.Sticky
 	o := option{server: s, warm: warm, work: time.Duration(float64(svc.usual(warm)) * slow)}
 	if s.backend.Region() != q.Region {
@@ -84,7 +84,7 @@
 		o.wait += time.Duration(float64(over) / float64(slots) * float64(svc.usual(true)) * slow)
 	}
 	o.now = over <= int(math.Ceil(t.rules.Parked*float64(slots)))
-	if begun, running := s.running[q.Object]; running && q.Sticky && !warm && t.rules.Hold {
+	if begun, running := s.running[q.short()]; running && q.Sticky && !warm && t.rules.Hold {
 		// The object is being made warm: its next request is faster after that.
 		rest := begun.Add(o.work).Sub(now)
 		soon := time.Duration(float64(svc.usual(true)) * slow)
--- a/edged/pkg/pick/pick.go
+++ b/edged/pkg/pick/pick.go
@@ -129,6 +129,8 @@
 	peers    map[string]report
 	// peerWork is the requests of all peers at each backend server, by short name.
 	peerWork map[uint32]int
+	// fresh is what other hosts are to hear of warm objects.
+	fresh []warmedAt
 }
 
 // service is what is known of a service.
@@ -317,6 +319,7 @@
 	warm := s.end(now, q, o, load)
 	if o == Answered {
 		s.learn(svc, took, warm)
+		t.handled(now, s, q)
 	}
 	return o == Failed && s.failures == failuresOut
 }
--- a/edged/pkg/pick/pick_test.go
+++ b/edged/pkg/pick/pick_test.go
@@ -52,7 +52,7 @@
 // finish ends a request, which took a third of the time where its object was warm.
 func finish(table *Table, now time.Time, b *plan.Backend, q Query) {
 	took := firstCold
-	if _, warm := table.server(b).warm[q.Object]; warm {
+	if _, warm := table.server(b).warm[q.short()]; warm {
 		took = firstWarm
 	}
 	table.Done(now, b, &q, took, Answered, Load{})
@@ -94,6 +94,31 @@
 	})
 }
 
+func TestWarmIsTold(t *testing.T) {
+	v := view(2, nil)
+	one, other := New(DefaultRules(), testFleet{}), New(DefaultRules(), testFleet{})
+	first := chosen(t, one.Choose(start, v, query(1)))
+	finish(one, start, first, query(1))
+	news := one.Warmed(start, start)
+	assert.DeepEqual(t, news, []Warmed{{Server: Short(first), Object: 1}})
+	t.Run("another host that hears it goes there although work is under way", func(t *testing.T) {
+		other.Choose(start, v, query(1))
+		other.Heard(start, news)
+		c, ok := other.Choose(start, v, query(1)).(Chosen)
+		assert.Assert(t, ok)
+		assert.Equal(t, c.Backend.ID(), first.ID())
+		assert.Assert(t, c.Why.Warm)
+	})
+	t.Run("what is told is no news", func(t *testing.T) {
+		assert.Equal(t, len(one.Warmed(start.Add(time.Second), start.Add(time.Second))), 0)
+		finish(one, start.Add(time.Second), first, query(1))
+		assert.Equal(t, len(one.Warmed(start.Add(time.Second), start.Add(time.Second))), 0)
+	})
+	t.Run("what is told of an unknown backend server is passed over", func(*testing.T) {
+		other.Heard(start, []Warmed{{Server: 7, Object: 7}})
+	})
+}
+
 func TestQueue(t *testing.T) {
 	fill := func(table *Table, v *plan.View) []*plan.Backend {
 		var busy []*plan.Backend
--- a/edged/pkg/pick/server.go
+++ b/edged/pkg/pick/server.go
@@ -64,9 +64,9 @@
 	failures int
 	outUntil time.Time
 	coldNext time.Time
-	// warm holds when an object was last handled there, running when a first run of one began.
-	warm    map[uint64]time.Time
-	running map[uint64]time.Time
+	// warm holds when an object was last handled there, running when a first run of one began, by short names.
+	warm    map[uint32]time.Time
+	running map[uint32]time.Time
 	// ratio is how much longer than usual it takes, beyond the slowness that it tells.
 	ratio float64
 	// others is the work of other hosts by the last answer's load.
@@ -77,7 +77,7 @@
 }
 
 func newServer(b *plan.Backend) *server {
-	return &server{backend: b, warm: map[uint64]time.Time{}, running: map[uint64]time.Time{}, ratio: 1, slowness: 1}
+	return &server{backend: b, warm: map[uint32]time.Time{}, running: map[uint32]time.Time{}, ratio: 1, slowness: 1}
 }
 
 // begin counts a request.
@@ -86,9 +86,10 @@
 	if !q.Sticky {
 		return
 	}
-	if _, warm := s.warm[q.Object]; !warm {
-		if _, running := s.running[q.Object]; !running {
-			s.running[q.Object] = now
+	object := q.short()
+	if _, warm := s.warm[object]; !warm {
+		if _, running := s.running[object]; !running {
+			s.running[object] = now
 		}
 	}
 }
@@ -96,14 +97,9 @@
 // end ends a request and tells whether its object was warm when it began.
 func (s *server) end(now time.Time, q *Query, o Outcome, load Load) bool {
 	s.own--
-	_, warm := s.warm[q.Object]
-	if q.Sticky {
-		if !warm {
-			delete(s.running, q.Object)
-		}
-		if o == Answered {
-			s.warm[q.Object] = now
-		}
+	_, warm := s.warm[q.short()]
+	if q.Sticky && !warm {
+		delete(s.running, q.short())
 	}
 	if load.Known {
 		s.others, s.seen = max(0, load.Running+load.Waiting-s.own), now
@@ -165,7 +161,7 @@
 // trim forgets the objects that were not handled for the longest time.
 func (s *server) trim() {
 	for len(s.warm) > warmMost {
-		var oldest uint64
+		var oldest uint32
 		var at time.Time
 		for o, when := range s.warm {
 			if at.IsZero() || when.Before(at) {
--- a/simul/pkg/world/world.go
+++ b/simul/pkg/world/world.go
@@ -157,12 +157,15 @@
 // report sends a host's notes to the others.
 func (w *World) report(h *host) {
 	if !h.gone {
-		notes := h.table.Notes(w.time())
+		notes, warm := h.table.Notes(w.time()), h.table.Warmed(w.time(), w.time().Add(-millis(w.scene.ReportMillis)))
 		far := int(w.scene.FarReportMillis / w.scene.ReportMillis)
 		turn := int(w.now/millis(w.scene.ReportMillis))%max(1, far) == 0
 		for _, peer := range w.hosts {
 			if peer != h && (peer.region == h.region || turn) {
-				w.after(w.delay(h.dataCentre, peer.dataCentre), func() { peer.table.Report(w.time(), h.name, notes) })
+				w.after(w.delay(h.dataCentre, peer.dataCentre), func() {
+					peer.table.Report(w.time(), h.name, notes)
+					peer.table.Heard(w.time(), warm)
+				})
 			}
 		}
 		h.table.DrainAll(w.time(), w.view)
