Objects have their first home in their callers' region where it has the slots

Change: the first home goes by regions' slots; a quarter of the further homes is spread over all regions as before. Test: pick.TestHomesByRegion.

--- a/edged/pkg/pick/option.go
+++ b/edged/pkg/pick/option.go
@@ -105,30 +105,44 @@
 		svc.shares = t.newShares(v, q.Service, q.Region)
 	}
 	list := make([]candidate, 0, candidatesMost+1)
+	var home candidate
 	for _, m := range svc.shares.members {
-		var rank float64
+		if !t.usable(now, m.s, q) {
+			continue
+		}
+		rank := 0.0
 		if q.Sticky {
-			rank = m.rank(q.Object)
+			draw := m.draw(q.Object)
+			rank = draw * m.further
+			if first := draw * m.first; home.s == nil || first < home.rank {
+				home = candidate{s: m.s, rank: first}
+			}
 		} else {
 			rank = float64(t.load(now, m.s)) / float64(m.s.backend.Slots())
 			if m.far {
 				rank += farPush
 			}
 		}
-		if len(list) == candidatesMost && rank >= list[len(list)-1].rank {
-			continue
-		}
-		if !t.usable(now, m.s, q) {
-			continue
-		}
-		i := len(list)
-		for i > 0 && rank < list[i-1].rank {
-			i--
-		}
-		list = slices.Insert(list, i, candidate{s: m.s, rank: rank})
-		list = list[:min(len(list), candidatesMost)]
+		list = place(list, candidate{s: m.s, rank: rank})
+	}
+	if home.s == nil {
+		return list
+	}
+	list = slices.DeleteFunc(list, func(c candidate) bool { return c.s == home.s })
+	return slices.Insert(list, 0, home)
+}
+
+// place puts a candidate into an ordered list of the first few.
+func place(list []candidate, c candidate) []candidate {
+	if len(list) == candidatesMost && c.rank >= list[len(list)-1].rank {
+		return list
+	}
+	i := len(list)
+	for i > 0 && c.rank < list[i-1].rank {
+		i--
 	}
-	return list
+	list = slices.Insert(list, i, c)
+	return list[:min(len(list), candidatesMost)]
 }
 
 // usable tells whether a backend server may get a request now.
--- a/edged/pkg/pick/pick_test.go
+++ b/edged/pkg/pick/pick_test.go
@@ -94,6 +94,30 @@
 	})
 }
 
+func TestHomesByRegion(t *testing.T) {
+	const objects = 400
+	table, v := New(DefaultRules(), testFleet{}), view(10, nil)
+	far := [2]int{}
+	for object := range uint64(objects) {
+		q := query(object)
+		list := table.candidates(start, v, table.service("alpha"), &q)
+		for home := range far {
+			if list[home].s.backend.Region() != "north" {
+				far[home]++
+			}
+		}
+	}
+	t.Run("where a region has the slots for its callers, their objects have their first home there", func(t *testing.T) {
+		assert.Equal(t, far[0], 0)
+	})
+	t.Run("some of the second homes are elsewhere", func(t *testing.T) {
+		// An object whose best place of all is far has it as its second home; of the rest, those whose next best is.
+		p, others := DefaultRules().FurtherFree/2, 4.0/5
+		expected := objects * (p + (1-p)*p/(p+(1-p)*others))
+		assert.Assert(t, far[1] > int(expected/2) && far[1] < int(2*expected), "%d", far[1])
+	})
+}
+
 func TestWarmIsTold(t *testing.T) {
 	v := view(2, nil)
 	one, other := New(DefaultRules(), testFleet{}), New(DefaultRules(), testFleet{})
--- a/edged/pkg/pick/rules.go
+++ b/edged/pkg/pick/rules.go
@@ -7,9 +7,9 @@
 type Rules struct {
 	// Homes is how many backend servers hold an object warm: memory there is for about two of them.
 	Homes int
-	// FreeShare is which part of a region's objects is spread over all regions by their slots, so that the
-	// second home of many lies in a region whose load has another time of day.
-	FreeShare float64
+	// FirstFree and FurtherFree are which part of a region's objects has its first home, and its others, in any
+	// region by the slots there: so the second home of many lies where the load has another time of day.
+	FirstFree, FurtherFree float64
 	// SpillUse is the use of a service's slots below which objects may go beyond their homes; from trials.
 	SpillUse float64
 	// Parked is which part of its slots may wait at a backend server, to hide the way there; from trials.
@@ -30,8 +30,11 @@
 // DefaultRules returns the rules in use.
 func DefaultRules() Rules {
 	return Rules{
-		Homes:      2,
-		FreeShare:  0.25,
+		Homes: 2,
+
+		FirstFree:   0,
+		FurtherFree: 0.25,
+
 		SpillUse:   0.4,
 		Parked:     0.67,
 		WorkWeight: 1,
--- a/edged/pkg/pick/shares.go
+++ b/edged/pkg/pick/shares.go
@@ -16,9 +16,9 @@
 
 type member struct {
 	s *server
-	// inverse is 1 / weight; the lower, the more objects.
-	inverse float64
-	far     bool
+	// first and further are 1 / weight for the first home of objects and for the others; the lower, the more objects.
+	first, further float64
+	far            bool
 }
 
 // newShares divides the slots of a service among the regions: each keeps its own objects as far as its slots
@@ -30,17 +30,20 @@
 		slots[b.Region()] += float64(b.Slots())
 		total += float64(b.Slots())
 	}
-	weight := t.weights(slots, total, origin)
+	first := t.weights(slots, total, origin, t.rules.FirstFree)
+	further := t.weights(slots, total, origin, t.rules.FurtherFree)
 	for _, b := range v.Usable(service) {
 		out.members = append(out.members, member{
-			s: t.server(b), inverse: 1 / (weight[b.Region()] * float64(b.Slots())), far: b.Region() != origin,
+			s: t.server(b), first: 1 / (first[b.Region()] * float64(b.Slots())), further: 1 / (further[b.Region()] * float64(b.Slots())),
+			far: b.Region() != origin,
 		})
 	}
 	return out
 }
 
-// weights returns the weight of one slot in each region for the objects of one of them.
-func (t *Table) weights(slots map[string]float64, total float64, origin string) map[string]float64 {
+// weights returns the weight of one slot in each region for the objects of one of them. free is which part of the
+// objects is spread over all regions by their slots.
+func (t *Table) weights(slots map[string]float64, total float64, origin string, free float64) map[string]float64 {
 	demand := t.fleet.Demand()
 	spare, left := map[string]float64{}, 0.0
 	for region, n := range slots {
@@ -60,7 +63,7 @@
 			if region == origin {
 				part += kept / need
 			}
-			part = (1-t.rules.FreeShare)*part + t.rules.FreeShare*n/total
+			part = (1-free)*part + free*n/total
 		}
 		out[region] = max(part, leastPart) / n
 	}
@@ -70,7 +73,7 @@
 // leastPart keeps a region in the order of objects that it should hold none of.
 const leastPart = 1e-6
 
-// rank places a backend server in the order of an object: the lowest is its first home.
-func (m member) rank(object uint64) float64 {
-	return -math.Log1p(-unit(object^m.s.backend.Hash())) * m.inverse
+// draw is the object's own number at a backend server; by a weight it is the place in an order.
+func (m member) draw(object uint64) float64 {
+	return -math.Log1p(-unit(object ^ m.s.backend.Hash()))
 }
--- a/simul/pkg/polic/polic.go
+++ b/simul/pkg/polic/polic.go
@@ -57,8 +57,12 @@
 	switch name {
 	case "homes":
 		r.Homes = int(n)
+	case "firstFree":
+		r.FirstFree = n
+	case "furtherFree":
+		r.FurtherFree = n
 	case "freeShare":
-		r.FreeShare = n
+		r.FirstFree, r.FurtherFree = n, n
 	case "spillUse":
 		r.SpillUse = n
 	case "parked":
