Connections that a backend server forgets while they rest are told apart, and rests are shortened

Such a reset is no verdict on the backend server. Red first: conns.TestForgottenConnections, TestRests.

--- a/edged/pkg/conns/conns.go
+++ b/edged/pkg/conns/conns.go
@@ -5,6 +5,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -12,6 +13,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"rosemarygrade.dev/lib/pkg/fault"
@@ -28,6 +30,9 @@
 	KindLost Kind = "lost"
 	// KindBroken means that an answer began and was not whole.
 	KindBroken Kind = "broken"
+	// KindForgotten means that a connection that had rested was reset before any answer. What became of the request
+	// is unknown, and nothing is wrong with the backend server.
+	KindForgotten Kind = "forgotten"
 )
 
 // Error is the error type of the package.
@@ -59,6 +64,8 @@
 	Host   string
 	Header http.Header
 	Body   []byte
+	// Repeatable requests may run more than once.
+	Repeatable bool
 }
 
 // Head is the start of an answer.
@@ -100,8 +107,9 @@
 	echo   func(h http.Header) string
 	opened atomic.Uint64
 
-	mu   sync.Mutex
-	idle map[string][]*conn
+	mu    sync.Mutex
+	idle  map[string][]*conn
+	rests rests
 }
 
 type conn struct {
@@ -109,12 +117,15 @@
 	reader *bufio.Reader
 	target string
 	until  time.Time
+	// put is when it was put away; rested is for how long it was, 0 for a new one.
+	put    time.Time
+	rested time.Duration
 }
 
 // NewPool returns an empty pool. Echo reads from an answer's headers the id of its request.
 func NewPool(dialer net.Dialer, echo func(h http.Header) string) *Pool {
 	dialer.Timeout = dialWait
-	return &Pool{dialer: dialer, echo: echo, idle: map[string][]*conn{}}
+	return &Pool{dialer: dialer, echo: echo, idle: map[string][]*conn{}, rests: rests{targets: map[string]rest{}}}
 }
 
 // Opened returns how many connections were made.
@@ -123,7 +134,7 @@
 // Send sends a request to an address. Target tells connections of one backend server from those of
 // another that had its address before.
 func (p *Pool) Send(ctx context.Context, target, address string, req *Request) (*Answer, error) {
-	c, err := p.take(ctx, target, address)
+	c, err := p.take(ctx, time.Now(), target, address, req.Repeatable)
 	if err != nil {
 		return nil, err
 	}
@@ -139,6 +150,9 @@
 	}
 	resp, err := p.receive(c, req) //nolint:bodyclose // The body ends with the connection, which is closed or kept as a whole.
 	if err != nil {
+		if ctx.Err() == nil && fault.KindOf[Kind](err) == KindForgotten {
+			p.forgot(time.Now(), c)
+		}
 		return fail(err)
 	}
 	a, err := hold(resp)
@@ -212,7 +226,11 @@
 	question := &http.Request{Method: req.Method}
 	for foreign := 0; foreign <= foreignAtMost; {
 		if _, err := c.reader.Peek(1); err != nil {
-			return nil, fault.Wrap("await answer", KindLost, err)
+			kind := KindLost
+			if c.rested > 0 && foreign == 0 && errors.Is(err, syscall.ECONNRESET) {
+				kind = KindForgotten
+			}
+			return nil, fault.Wrap("await answer", kind, err)
 		}
 		resp, err := http.ReadResponse(c.reader, question)
 		if err != nil {
@@ -259,10 +277,9 @@
 }
 
 // take returns a kept connection that still stands, or a new one.
-func (p *Pool) take(ctx context.Context, target, address string) (*conn, error) {
-	now := time.Now()
+func (p *Pool) take(ctx context.Context, now time.Time, target, address string, repeatable bool) (*conn, error) {
 	for {
-		c := p.pop(target)
+		c := p.pop(now, target, repeatable)
 		if c == nil {
 			break
 		}
@@ -279,7 +296,8 @@
 	return &conn{Conn: raw, reader: bufio.NewReaderSize(raw, readBuffer), target: target}, nil
 }
 
-func (p *Pool) pop(target string) *conn {
+// pop takes the connection that has rested least, if its rest is trusted.
+func (p *Pool) pop(now time.Time, target string, repeatable bool) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.idle[target]
@@ -287,12 +305,24 @@
 		return nil
 	}
 	c := list[len(list)-1]
+	// A connection that is used again at once has rested too.
+	c.rested = max(1, now.Sub(c.put))
+	if !p.rests.trusts(now, target, c.rested, repeatable) {
+		return nil
+	}
 	p.idle[target] = list[:len(list)-1]
 	return c
 }
 
+// forgot takes that the target had forgotten a connection.
+func (p *Pool) forgot(now time.Time, c *conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.rests.forgot(now, c.target, c.rested)
+}
+
 func (p *Pool) put(c *conn, keep time.Duration, now time.Time) {
-	c.until = now.Add(keep)
+	c.until, c.put = now.Add(keep), now
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.idle[c.target] = append(p.idle[c.target], c)
@@ -302,10 +332,11 @@
 func (p *Pool) Sweep(now time.Time, kept func(target string) bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.rests.trim(now)
 	for target, list := range p.idle {
 		stay := list[:0]
 		for _, c := range list {
-			if kept(target) && now.Before(c.until) {
+			if kept(target) && now.Before(c.until) && p.rests.trusts(now, target, now.Sub(c.put), true) {
 				stay = append(stay, c)
 			} else {
 				_ = c.Close()
--- a/edged/pkg/conns/conns_test.go
+++ b/edged/pkg/conns/conns_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -160,3 +161,72 @@
 		<-gone
 	})
 }
+
+// TestForgottenConnections plays backend servers that forget connections that rested: the next request is reset unread.
+func TestForgottenConnections(t *testing.T) {
+	const rested = 60 * time.Millisecond
+	ok := "HTTP/1.1 200 OK\r\nX-Id: a\r\nContent-Length: 2\r\n\r\nok"
+	forgets := func(c net.Conn, r *http.Request, n int) bool {
+		if n == 0 {
+			return say(ok)(c, r, n)
+		}
+		tcp, isTCP := c.(*net.TCPConn)
+		if isTCP {
+			// Closing with this set resets the connection.
+			_ = tcp.SetLinger(0)
+		}
+		return false
+	}
+	ask := func(p *Pool, target, address string, repeatable bool) error {
+		_, err := p.Send(t.Context(), target, address, &Request{
+			ID: "a", Method: "GET", URI: "/", Host: "h", Header: http.Header{}, Repeatable: repeatable,
+		})
+		return err
+	}
+	p := NewPool(Dialer(), echo)
+	first, second := server(t, forgets), server(t, forgets)
+	assert.NilError(t, errors.Join(ask(p, "first", first, true), ask(p, "second", second, true)))
+	time.Sleep(rested)
+	assertKind(t, ask(p, "first", first, true), KindForgotten)
+	t.Run("it is not trusted to rest so long again", func(t *testing.T) {
+		assert.NilError(t, ask(p, "first", first, true))
+		time.Sleep(rested)
+		assert.NilError(t, ask(p, "first", first, true))
+	})
+	t.Run("a request that may run once trusts no other either", func(t *testing.T) {
+		assert.NilError(t, ask(p, "second", second, false))
+	})
+}
+
+func TestRests(t *testing.T) {
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	r := rests{targets: map[string]rest{}}
+	trusts := func(after time.Duration, target string, rested time.Duration, repeatable bool) bool {
+		return r.trusts(now.Add(after), target, rested, repeatable)
+	}
+	assert.Assert(t, trusts(0, "a", time.Hour, false), "nothing is known")
+	r.forgot(now, "a", time.Second)
+	rows := []struct {
+		name       string
+		after      time.Duration
+		target     string
+		rested     time.Duration
+		repeatable bool
+		want       bool
+	}{
+		{"a short rest", 0, "a", 400 * time.Millisecond, false, true},
+		{"a long rest", 0, "a", 600 * time.Millisecond, true, false},
+		{"a long rest elsewhere", 0, "b", 600 * time.Millisecond, true, true},
+		{"a long rest elsewhere, at most once", 0, "b", 600 * time.Millisecond, false, false},
+		{"a long rest later", restMemory, "a", time.Hour, false, true},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			assert.Equal(t, trusts(row.after, row.target, row.rested, row.repeatable), row.want)
+		})
+	}
+	t.Run("a longer rest does not widen the bound", func(t *testing.T) {
+		r.forgot(now, "a", time.Hour)
+		assert.Assert(t, !trusts(0, "a", 600*time.Millisecond, true))
+	})
+}
--- a/edged/pkg/gate/gate.go
+++ b/edged/pkg/gate/gate.go
@@ -157,7 +157,7 @@
 	if err != nil {
 		return x, unreadable(err)
 	}
-	x.req = conns.Request{ID: head.AttemptID, Method: r.Method, URI: target, Host: r.Host, Header: g.forwarded(r.Header), Body: body}
+	x.req = conns.Request{ID: head.AttemptID, Method: r.Method, URI: target, Host: r.Host, Header: g.forwarded(r.Header), Body: body, Repeatable: route.Idempotent()}
 	x.service = g.splits.Next(route)
 	x.query = pick.Query{
 		Service: x.service, Region: g.env.Region(), Allows: route.Allows, Priority: route.Priority(),
@@ -375,7 +375,8 @@
 
 // failed judges a send that brought no whole answer.
 func (g *Gate) failed(ctx context.Context, x *exchange, b *plan.Backend, took time.Duration, err error) (*conns.Answer, *ownAnswer, bool) {
-	unsent := fault.KindOf[conns.Kind](err) == conns.KindUnsent
+	kind := fault.KindOf[conns.Kind](err)
+	unsent := kind == conns.KindUnsent
 	if !unsent {
 		x.ran = true
 	}
@@ -387,7 +388,11 @@
 		g.done(x, b, took, o, heads.Load{})
 		return nil, g.late(x), false
 	}
-	g.done(x, b, took, pick.Failed, heads.Load{})
+	o := pick.Failed
+	if kind == conns.KindForgotten {
+		o = pick.Left
+	}
+	g.done(x, b, took, o, heads.Load{})
 	g.meter.Add(meter.SendsLost, 1)
 	x.trail.Add(time.Now(), "sendFailed", "backend", b.ID(), "unsent", unsent, "error", err.Error())
 	if unsent && len(x.tried) < x.route.MaxAttempts() {
