Orders of objects and the watcher's role are kept; soak with links that are harmed, kills of all, replays; a pattern for moves between regions

A choice among 279 backend servers took 22 us and is made anew for each of up to 48 that wait whenever a slot is free; whether a host watches the store was worked out 80 times a second by ranking all hosts. Change: the order of an object is kept until the view changes; the role is worked out once in 100 ms.

--- a/edged/pkg/mesh/mesh.go
+++ b/edged/pkg/mesh/mesh.go
@@ -96,6 +96,9 @@
 	declared int
 	// lastWork is what the last beats told.
 	lastWork map[uint32]uint32
+	// watcher is the last answer of Watcher, which was worked out at watcherAt.
+	watcher   bool
+	watcherAt time.Time
 }
 
 // New returns a mesh that listens on the host's port for peers.
@@ -144,7 +147,7 @@
 func (m *Mesh) SetStore(ok bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.store = storeFails
+	m.store, m.watcherAt = storeFails, time.Time{}
 	if ok {
 		m.store = storeAnswers
 	}
@@ -168,6 +171,16 @@
 	return out
 }
 
+func (m *Mesh) countLive(now time.Time) int {
+	n := 0
+	for _, h := range m.hosts {
+		if h.name != "" && m.alive(now, h) {
+			n++
+		}
+	}
+	return n
+}
+
 func (m *Mesh) alive(now time.Time, h *Host) bool {
 	if h.region == m.self.Region && !m.big() {
 		return now.Sub(h.heard) < liveFor
@@ -186,6 +199,13 @@
 func (m *Mesh) Watcher(now time.Time) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if m.watcherAt.IsZero() || now.Sub(m.watcherAt) >= tickEvery || now.Before(m.watcherAt) {
+		m.watcher, m.watcherAt = m.ranksAsWatcher(now), now
+	}
+	return m.watcher
+}
+
+func (m *Mesh) ranksAsWatcher(now time.Time) bool {
 	if now.Sub(m.start) < settle {
 		return m.self.Seed
 	}
--- a/edged/pkg/mesh/send.go
+++ b/edged/pkg/mesh/send.go
@@ -27,7 +27,7 @@
 	for _, t := range plan.Topics() {
 		b.Revisions = append(b.Revisions, m.state.Content(t))
 	}
-	m.most = max(m.most, len(m.live(now))+1)
+	m.most = max(m.most, m.countLive(now)+1)
 	same := maps.Equal(work, m.lastWork)
 	m.lastWork = work
 	out := mail{mesh: m, beat: b}
--- a/edged/pkg/pick/option.go
+++ b/edged/pkg/pick/option.go
@@ -36,11 +36,11 @@
 	list := t.candidates(now, v, svc, q)
 	var out option
 	found := false
-	for i, c := range list {
+	for i, s := range list {
 		if i >= t.rules.Homes && q.Sticky && (found && (out.now || svc.use(now, t) > t.rules.SpillUse)) {
 			break
 		}
-		o := t.option(now, svc, c.s, q)
+		o := t.option(now, svc, s, q)
 		if !found || t.rules.cost(o) < t.rules.cost(out) {
 			out, found = o, true
 		}
@@ -100,41 +100,55 @@
 
 // candidates returns the first backend servers that may get the request, in the order of its object, or by
 // their load where it has none.
-func (t *Table) candidates(now time.Time, v *plan.View, svc *service, q *Query) []candidate {
+func (t *Table) candidates(now time.Time, v *plan.View, svc *service, q *Query) []*server {
 	if svc.shares == nil || svc.shares.view != v || svc.shares.region != q.Region {
 		svc.shares = t.newShares(v, q.Service, q.Region)
 	}
+	if !q.Sticky {
+		return t.idlest(now, svc, q)
+	}
+	list := t.usables(now, svc.shares.order(q.Object), q)
+	if len(list) < min(t.rules.Homes, len(svc.shares.members)) {
+		// Most of those that are kept in order are out.
+		list = t.usables(now, svc.shares.rank(q.Object, len(svc.shares.members)), q)
+	}
+	return list
+}
+
+// usables returns the first of a list that may get the request.
+func (t *Table) usables(now time.Time, order []*server, q *Query) []*server {
+	list := make([]*server, 0, candidatesMost)
+	for _, s := range order {
+		if len(list) < candidatesMost && t.usable(now, s, q) {
+			list = append(list, s)
+		}
+	}
+	return list
+}
+
+// idlest returns the backend servers with the least load for their slots, near ones first.
+func (t *Table) idlest(now time.Time, svc *service, q *Query) []*server {
 	list := make([]candidate, 0, candidatesMost+1)
-	var home candidate
 	for _, m := range svc.shares.members {
 		if !t.usable(now, m.s, q) {
 			continue
 		}
-		rank := 0.0
-		if q.Sticky {
-			draw := m.draw(q.Object)
-			rank = draw * m.further
-			if first := draw * m.first; home.s == nil || first < home.rank {
-				home = candidate{s: m.s, rank: first}
-			}
-		} else {
-			rank = float64(t.load(now, m.s)) / float64(m.s.backend.Slots())
-			if m.far {
-				rank += farPush
-			}
+		rank := float64(t.load(now, m.s)) / float64(m.s.backend.Slots())
+		if m.far {
+			rank += farPush
 		}
-		list = place(list, candidate{s: m.s, rank: rank})
+		list = place(list, candidate{s: m.s, rank: rank}, candidatesMost)
 	}
-	if home.s == nil {
-		return list
+	out := make([]*server, 0, len(list))
+	for _, c := range list {
+		out = append(out, c.s)
 	}
-	list = slices.DeleteFunc(list, func(c candidate) bool { return c.s == home.s })
-	return slices.Insert(list, 0, home)
+	return out
 }
 
-// place puts a candidate into an ordered list of the first few.
-func place(list []candidate, c candidate) []candidate {
-	if len(list) == candidatesMost && c.rank >= list[len(list)-1].rank {
+// place puts a candidate into an ordered list of the first n.
+func place(list []candidate, c candidate, n int) []candidate {
+	if len(list) == n && c.rank >= list[len(list)-1].rank {
 		return list
 	}
 	i := len(list)
@@ -142,7 +156,7 @@
 		i--
 	}
 	list = slices.Insert(list, i, c)
-	return list[:min(len(list), candidatesMost)]
+	return list[:min(len(list), n)]
 }
 
 // usable tells whether a backend server may get a request now.
--- a/edged/pkg/pick/pick_test.go
+++ b/edged/pkg/pick/pick_test.go
@@ -102,7 +102,7 @@
 		q := query(object)
 		list := table.candidates(start, v, table.service("alpha"), &q)
 		for home := range far {
-			if list[home].s.backend.Region() != "north" {
+			if list[home].backend.Region() != "north" {
 				far[home]++
 			}
 		}
@@ -118,6 +118,53 @@
 	})
 }
 
+// TestOrders compares the orders that are kept with the whole order, also while many backend servers are out.
+func TestOrders(t *testing.T) {
+	table, v := New(DefaultRules(), testFleet{}), view(3*orderLength, nil)
+	svc := table.service("alpha")
+	ids := func(object uint64) []string {
+		q := query(object)
+		var out []string
+		for _, s := range table.candidates(start, v, svc, &q) {
+			out = append(out, s.backend.ID())
+		}
+		return out
+	}
+	whole := func(object uint64) []string {
+		var out []string
+		for _, s := range svc.shares.rank(object, len(svc.shares.members)) {
+			if len(out) < candidatesMost && !start.Before(s.outUntil) {
+				out = append(out, s.backend.ID())
+			}
+		}
+		return out
+	}
+	for object := range uint64(50) {
+		first := ids(object)
+		assert.DeepEqual(t, first, whole(object))
+		assert.DeepEqual(t, ids(object), first)
+	}
+	for i, s := range svc.shares.rank(7, len(svc.shares.members)) {
+		if i < 2*orderLength {
+			s.outUntil = start.Add(time.Minute)
+		}
+	}
+	assert.DeepEqual(t, ids(7), whole(7))
+	assert.Equal(t, len(ids(7)), candidatesMost)
+}
+
+// BenchmarkChoose is a choice among the 279 backend servers of the users' largest service.
+func BenchmarkChoose(b *testing.B) {
+	table, v := New(DefaultRules(), testFleet{}), view(279, nil)
+	for i := range b.N {
+		q := query(uint64(i % 216))
+		now := start.Add(time.Duration(i) * time.Millisecond)
+		if c, ok := table.Choose(now, v, q).(Chosen); ok {
+			finish(table, now, c.Backend, q)
+		}
+	}
+}
+
 func TestWarmIsTold(t *testing.T) {
 	v := view(2, nil)
 	one, other := New(DefaultRules(), testFleet{}), New(DefaultRules(), testFleet{})
--- a/edged/pkg/pick/shares.go
+++ b/edged/pkg/pick/shares.go
@@ -12,6 +12,8 @@
 	region string
 	// members are the usable backend servers with the inverse of their weight.
 	members []member
+	// orders keeps the order of objects that were asked for.
+	orders map[uint64][]*server
 }
 
 type member struct {
@@ -24,7 +26,7 @@
 // newShares divides the slots of a service among the regions: each keeps its own objects as far as its slots
 // go, and what is left goes where there are more slots than needed.
 func (t *Table) newShares(v *plan.View, service, origin string) *shares {
-	out := &shares{view: v, region: origin}
+	out := &shares{view: v, region: origin, orders: map[uint64][]*server{}}
 	slots, total := map[string]float64{}, 0.0
 	for _, b := range v.Usable(service) {
 		slots[b.Region()] += float64(b.Slots())
@@ -73,6 +75,50 @@
 // leastPart keeps a region in the order of objects that it should hold none of.
 const leastPart = 1e-6
 
+// Bounds of the orders that are kept.
+const (
+	// orderLength is how many backend servers of an order are kept: its homes, and others while some are out.
+	orderLength = 12
+	// ordersMost bounds the memory, to about half a megabyte a service.
+	ordersMost = 4096
+)
+
+// order returns the first backend servers for an object: its first home, then its others.
+func (s *shares) order(object uint64) []*server {
+	if known, ok := s.orders[object]; ok {
+		return known
+	}
+	if len(s.orders) >= ordersMost {
+		clear(s.orders)
+	}
+	list := s.rank(object, orderLength)
+	s.orders[object] = list
+	return list
+}
+
+// rank puts the first n backend servers for an object in order.
+func (s *shares) rank(object uint64, n int) []*server {
+	list := make([]candidate, 0, n+1)
+	var home candidate
+	for _, m := range s.members {
+		draw := m.draw(object)
+		if first := draw * m.first; home.s == nil || first < home.rank {
+			home = candidate{s: m.s, rank: first}
+		}
+		list = place(list, candidate{s: m.s, rank: draw * m.further}, n)
+	}
+	out := make([]*server, 0, n)
+	if home.s != nil {
+		out = append(out, home.s)
+	}
+	for _, c := range list {
+		if c.s != home.s && len(out) < n {
+			out = append(out, c.s)
+		}
+	}
+	return out
+}
+
 // draw is the object's own number at a backend server; by a weight it is the place in an order.
 func (m member) draw(object uint64) float64 {
 	return -math.Log1p(-unit(object ^ m.s.backend.Hash()))
--- a/simul/pkg/scene/scene.go
+++ b/simul/pkg/scene/scene.go
@@ -163,6 +163,16 @@
 	return nil
 }
 
+// Regions returns the names of the regions, in order.
+func (s *Scene) Regions() []string {
+	var out []string
+	for _, d := range s.DataCentres {
+		out = append(out, d.Region)
+	}
+	slices.Sort(out)
+	return slices.Compact(out)
+}
+
 func (s *Scene) checkPlaces() error {
 	for _, d := range s.DataCentres {
 		if d.Name == "" || d.Region == "" || d.Hosts < 1 || d.Rate < 0 {
--- a/simul/pkg/world/backend.go
+++ b/simul/pkg/world/backend.go
@@ -108,6 +108,7 @@
 	} else {
 		w.result.coldRuns++
 	}
+	w.result.ran[way{int(w.now / shiftWindow), s.req.from.Region, w.regions[b.dataCentre]}]++
 	w.result.waited += w.time().Sub(s.begun)
 	w.after(millis(took), func() {
 		if s.ended {
--- a/simul/pkg/world/patterns_test.go
+++ b/simul/pkg/world/patterns_test.go
@@ -1,8 +1,10 @@
 package world_test
 
 import (
+	"fmt"
 	"path/filepath"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -49,6 +51,24 @@
 	assertBetter(t, "allBackendsShed", "retryRoomMillis=250", "default")
 }
 
+// TestRegionsMoveSlowly plays waves and a burst of a data centre of a large deployment: from one window to the next at most 15%
+// of a region's requests may change the region in which they run, the users' limit.
+func TestRegionsMoveSlowly(t *testing.T) {
+	const most = 0.15
+	s, err := scene.Load(filepath.Join("..", "..", "scenarios", "largeRegionalWaves.json"))
+	assert.NilError(t, err)
+	rules, err := polic.Parse("default")
+	assert.NilError(t, err)
+	for seed := range uint64(seeds) {
+		t.Run(fmt.Sprint("seed ", seed+1), func(t *testing.T) {
+			t.Parallel()
+			moved := world.Play(s, rules, seed+1).Shift(0, time.Duration(s.Seconds*float64(time.Second)))
+			assert.Assert(t, moved > 0, "nothing was counted")
+			assert.Assert(t, moved <= most, "%.3f of a region's requests moved", moved)
+		})
+	}
+}
+
 func TestSameSeedSamePlay(t *testing.T) {
 	s, err := scene.Load(filepath.Join("..", "..", "scenarios", "burstOfOneZone.json"))
 	assert.NilError(t, err)
--- a/simul/pkg/world/result.go
+++ b/simul/pkg/world/result.go
@@ -31,6 +31,14 @@
 	// warmRuns and coldRuns count runs by whether their object was warm; waited is from send to start.
 	warmRuns, coldRuns int
 	waited             time.Duration
+	// ran counts runs by window, the callers' region and the region of the run.
+	ran map[way]int
+}
+
+// way is a part of the runs of one window.
+type way struct {
+	window   int
+	from, to string
 }
 
 // Bounds of the histogram of times in microseconds.
@@ -41,7 +49,7 @@
 )
 
 func newResult(s *scene.Scene) *Result {
-	r := &Result{scene: s, zones: map[string]*Tally{}, micros: hdrhistogram.New(minMicros, maxMicros, digits)}
+	r := &Result{scene: s, ran: map[way]int{}, zones: map[string]*Tally{}, micros: hdrhistogram.New(minMicros, maxMicros, digits)}
 	r.second = make([]Tally, int(s.Seconds)+1)
 	for _, d := range s.DataCentres {
 		r.zones[d.Name] = &Tally{}
@@ -73,6 +81,46 @@
 	return r.waited / time.Duration(max(1, r.coldRuns+r.warmRuns))
 }
 
+// Windows in which the moves of work between regions are counted.
+const (
+	// shiftWindow is the length of a window, by the platform's rules.
+	shiftWindow = 2 * time.Second
+	// shiftLeast is how many runs make a window count: chance moves fewer.
+	shiftLeast = 200
+)
+
+// Shift returns the largest part of a region's requests that ran in other regions than in the window before,
+// between two times of a play.
+func (r *Result) Shift(from, until time.Duration) float64 {
+	worst := 0.0
+	for _, origin := range r.scene.Regions() {
+		for w := int(from / shiftWindow); w+1 < int(until/shiftWindow); w++ {
+			worst = max(worst, r.shift(origin, w))
+		}
+	}
+	return worst
+}
+
+// shift returns the part of a region's requests that changed its region from one window to the next.
+func (r *Result) shift(origin string, window int) float64 {
+	var sums [2]int
+	for _, to := range r.scene.Regions() {
+		for i := range sums {
+			sums[i] += r.ran[way{window + i, origin, to}]
+		}
+	}
+	if min(sums[0], sums[1]) < shiftLeast {
+		return 0
+	}
+	moved := 0.0
+	for _, to := range r.scene.Regions() {
+		before := float64(r.ran[way{window, origin, to}]) / float64(sums[0])
+		after := float64(r.ran[way{window + 1, origin, to}]) / float64(sums[1])
+		moved += max(0, after-before)
+	}
+	return moved
+}
+
 // Worst returns the lowest worth of a data centre.
 func (r *Result) Worst() float64 {
 	worst := 1.0
--- a/soak/cmds/cmds.go
+++ b/soak/cmds/cmds.go
@@ -4,7 +4,6 @@
 import (
 	"fmt"
 	"io"
-	"time"
 
 	"github.com/spf13/cobra"
 
@@ -33,17 +32,21 @@
 // Command returns the command line.
 func Command() *cobra.Command {
 	var (
-		plan    drill.Plan
-		minutes float64
+		plan   drill.Plan
+		length float64
+		past   string
 	)
 	cmd := &cobra.Command{
 		Use: "soak", Short: "Run edged processes under seeded faults and check what was seen", Args: cobra.NoArgs,
 		Long: `soak starts edged processes on loopback with stand-ins of the store, the backend servers and the callers. Faults come in a
-series that the seed fixes: kills, suspensions, planned stops, a store that is away or deaf, faults of backend servers, leaving
-ones and drained data centres. It ends with status 1 when a check fails. The same seed brings about the same faults.`,
+series that the seed fixes: kills of one or all, suspensions, planned stops, a store that is away or deaf, links that delay, reset, hold
+one way or both, faults of backend servers, leaving ones and drained data centres. It ends with status 1 when a check fails. The same seed brings about the same faults.`,
 		SilenceUsage: true, SilenceErrors: true,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			plan.Length = time.Duration(minutes * float64(time.Minute))
+			if past != "" {
+				return replay(cmd.Context(), cmd.OutOrStdout(), past, plan)
+			}
+			plan.Length = minutes(length)
 			report, err := drill.Run(cmd.Context(), plan)
 			if err != nil {
 				return err
@@ -53,10 +56,12 @@
 		},
 	}
 	cmd.Flags().Uint64Var(&plan.Seed, "seed", 1, "seed of the faults")
-	cmd.Flags().Float64Var(&minutes, "minutes", defaultMinutes, "length of the run")
+	cmd.Flags().Float64Var(&length, "minutes", defaultMinutes, "length of the run")
 	cmd.Flags().IntVar(&plan.Hosts, "hosts", defaultHosts, "number of processes")
 	cmd.Flags().StringVar(&plan.Program, "program", ".build/bin/edged", "the edged program")
 	cmd.Flags().StringVar(&plan.Logs, "logs", "", "directory for the processes' logs; empty means none are kept")
+	cmd.Flags().StringSliceVar(&plan.Faults, "faults", nil, "faults by name, in this order; none means that the seed chooses")
+	cmd.Flags().StringVar(&past, "replay", "", "file of runs that once failed, to be played again")
 	cmd.CompletionOptions.DisableDefaultCmd = true
 	return cmd
 }
--- /dev/null
+++ b/soak/cmds/replay.go
@@ -0,0 +1,58 @@
+package cmds
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"time"
+
+	"rosemarygrade.dev/soak/pkg/drill"
+)
+
+// past is a run that once failed.
+type past struct {
+	Seed    uint64   `json:"seed"`
+	Minutes float64  `json:"minutes"`
+	Faults  []string `json:"faults"`
+	// Cause tells what was wrong, or what is known of it.
+	Cause string `json:"cause"`
+}
+
+func loadPast(path string) ([]past, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	dec := json.NewDecoder(bytes.NewReader(data))
+	dec.DisallowUnknownFields()
+	var list []past
+	if err := dec.Decode(&list); err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	return list, nil
+}
+
+// replay plays the runs of a file again, one after the other.
+func replay(ctx context.Context, out io.Writer, path string, plan drill.Plan) error {
+	list, err := loadPast(path)
+	if err != nil {
+		return err
+	}
+	var errs []error
+	for _, p := range list {
+		plan.Seed, plan.Faults, plan.Length = p.Seed, p.Faults, minutes(p.Minutes)
+		report, err := drill.Run(ctx, plan)
+		if err != nil {
+			return err
+		}
+		_, _ = fmt.Fprintln(out, report)
+		errs = append(errs, report.Err())
+	}
+	return errors.Join(errs...)
+}
+
+func minutes(n float64) time.Duration { return time.Duration(n * float64(time.Minute)) }
--- a/soak/cmds/soak_test.go
+++ b/soak/cmds/soak_test.go
@@ -4,11 +4,13 @@
 	"bytes"
 	"os"
 	"path/filepath"
+	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
 
 	"rosemarygrade.dev/lib/pkg/help"
+	"rosemarygrade.dev/soak/pkg/drill"
 )
 
 func TestDocs(t *testing.T) {
@@ -23,3 +25,39 @@
 	code := Execute([]string{"--seed", "20261204", "--minutes", "0.25", "--program", program}, &out, &errs)
 	assert.Equal(t, code, 0, "%s%s", out.String(), errs.String())
 }
+
+func TestBadInput(t *testing.T) {
+	write := func(text string) string {
+		path := filepath.Join(t.TempDir(), "past.json")
+		assert.NilError(t, os.WriteFile(path, []byte(text), 0o600))
+		return path
+	}
+	rows := []struct {
+		name, want string
+		args       []string
+	}{
+		{"an unknown fault", "no fault is named flood", []string{"--faults", "flood"}},
+		{"a file that is missing", "no such file", []string{"--replay", "none.json"}},
+		{"a file with an unknown field", "unknown field", []string{"--replay", write(`[{"sead":1}]`)}},
+		{"an unknown fault in a file", "no fault is named flood", []string{"--replay", write(`[{"seed":1,"faults":["flood"]}]`)}},
+	}
+	for _, r := range rows {
+		t.Run(r.name, func(t *testing.T) {
+			var out, errs bytes.Buffer
+			assert.Equal(t, Execute(r.args, &out, &errs), 1)
+			assert.Assert(t, strings.Contains(errs.String(), r.want), errs.String())
+		})
+	}
+}
+
+// TestPastRuns checks that the kept runs can be played; soak --replay soak/past.json plays them.
+func TestPastRuns(t *testing.T) {
+	list, err := loadPast("../past.json")
+	assert.NilError(t, err)
+	assert.Assert(t, len(list) > 0)
+	for _, p := range list {
+		plan := drill.Plan{Faults: p.Faults}
+		assert.NilError(t, plan.Check())
+		assert.Assert(t, p.Cause != "" && p.Minutes > 0)
+	}
+}
--- a/soak/pkg/drill/drill.go
+++ b/soak/pkg/drill/drill.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -21,6 +22,8 @@
 const (
 	// KindStart means that the fleet could not be started.
 	KindStart Kind = "start"
+	// KindPlan means that the plan can't be carried out.
+	KindPlan Kind = "plan"
 	// KindCheck means that something was seen that must not be.
 	KindCheck Kind = "check"
 )
@@ -36,6 +39,22 @@
 	Program string
 	// Logs is a directory for the processes' output; empty means that none is kept.
 	Logs string
+	// Faults are names of faults to bring about in this order; none means that the seed chooses.
+	Faults []string
+}
+
+// Check returns an error where a fault is unknown.
+func (p *Plan) Check() error {
+	names := map[string]bool{}
+	for _, f := range (&drill{}).faults() {
+		names[f.name] = true
+	}
+	for _, name := range p.Faults {
+		if !names[name] {
+			return fault.New("plan", KindPlan, "no fault is named "+name)
+		}
+	}
+	return nil
 }
 
 // Times of a run.
@@ -46,6 +65,8 @@
 	// settleWait is how long after the faults a late run may still show itself.
 	settleWait = 3 * time.Second
 	readyWait  = 20 * time.Second
+	// pauseMost bounds the pause between faults, in milliseconds: some overlap what the last one left.
+	pauseMost = 700
 )
 
 // Report is what was seen.
@@ -96,6 +117,9 @@
 
 // Run runs a plan. An error means that it could not be run; what was seen is in the report.
 func Run(ctx context.Context, p Plan) (*Report, error) {
+	if err := p.Check(); err != nil {
+		return nil, err
+	}
 	dir, err := os.MkdirTemp("", "soak")
 	if err != nil {
 		return nil, fault.Wrap("run", KindStart, err)
@@ -120,10 +144,9 @@
 
 // trouble brings about one fault after the other.
 func (d *drill) trouble(ctx context.Context) {
-	faults := d.faults()
-	for ctx.Err() == nil {
-		f := faults[d.rng.IntN(len(faults))]
-		pause := time.Duration(d.rng.IntN(700)) * time.Millisecond
+	for n := 0; ctx.Err() == nil; n++ {
+		f := d.next(n)
+		pause := time.Duration(d.rng.IntN(pauseMost)) * time.Millisecond
 		d.mu.Lock()
 		d.report.faults = append(d.report.faults, f.name)
 		d.mu.Unlock()
@@ -132,6 +155,16 @@
 	}
 }
 
+// next returns the n-th fault.
+func (d *drill) next(n int) trouble {
+	faults := d.faults()
+	if len(d.plan.Faults) == 0 {
+		return faults[d.rng.IntN(len(faults))]
+	}
+	i := slices.IndexFunc(faults, func(f trouble) bool { return f.name == d.plan.Faults[n%len(d.plan.Faults)] })
+	return faults[i]
+}
+
 func (d *drill) wrong(format string, args ...any) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/soak/pkg/drill/faults.go
+++ b/soak/pkg/drill/faults.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"rosemarygrade.dev/platform/stand"
+	"rosemarygrade.dev/soak/pkg/relay"
 )
 
 type trouble struct {
@@ -17,7 +18,9 @@
 const (
 	shortFault = time.Second
 	longFault  = 2 * time.Second
-	faultsMost = 16
+	faultsMost = 24
+	// recoverWait is how long after their start all hosts may take until one serves: the users' limit is 15 s.
+	recoverWait = 5 * time.Second
 )
 
 // faults is the table of all faults.
@@ -33,6 +36,7 @@
 		{"suspend", func(ctx context.Context) {
 			f.suspend(ctx, d.host(), shortFault+time.Duration(d.rng.IntN(1000))*time.Millisecond)
 		}},
+		{"all killed", d.herd},
 		{"settings signal", func(context.Context) { f.signal(d.host(), syscall.SIGHUP) }},
 		{"store away", func(ctx context.Context) {
 			f.store.SetAway(true)
@@ -53,6 +57,12 @@
 			f.store.Remove(stand.KindDrains, zones[0])
 		}},
 	}...)
+	for _, h := range []relay.Harm{relay.HarmDelay, relay.HarmDeafBack, relay.HarmSilent} {
+		list = append(list, trouble{"link to a backend server: " + string(h), func(ctx context.Context) { d.harm(ctx, d.link(), h) }},
+			trouble{"link to the store: " + string(h), func(ctx context.Context) { d.harm(ctx, f.storeLink, h) }})
+	}
+	list = append(list, trouble{"link to a backend server: reset", func(context.Context) { d.link().Reset() }},
+		trouble{"link to the store: reset", func(context.Context) { f.storeLink.Reset() }})
 	for _, x := range answers {
 		list = append(list, trouble{"backend servers: " + string(x), func(ctx context.Context) {
 			t := f.targets[d.rng.IntN(len(f.targets))]
@@ -67,6 +77,35 @@
 // host chooses a host for a fault; the first is spared, so that some host always serves.
 func (d *drill) host() *host { return d.fleet.hosts[1+d.rng.IntN(len(d.fleet.hosts)-1)] }
 
+// link chooses the link to a backend server.
+func (d *drill) link() *relay.Relay { return d.fleet.links[d.rng.IntN(len(d.fleet.links))] }
+
+func (d *drill) harm(ctx context.Context, r *relay.Relay, h relay.Harm) {
+	r.SetHarm(h)
+	sleep(ctx, longFault)
+	r.SetHarm(relay.HarmNone)
+}
+
+// herd kills all hosts at once and checks that callers are served again in time.
+func (d *drill) herd(ctx context.Context) {
+	d.fleet.herd(ctx)
+	before := d.served()
+	for end := time.Now().Add(recoverWait); time.Now().Before(end) && ctx.Err() == nil; sleep(ctx, callPause) {
+		if d.served() > before {
+			return
+		}
+	}
+	if ctx.Err() == nil {
+		d.wrong("nothing was served %s after all hosts were back", recoverWait)
+	}
+}
+
+func (d *drill) served() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.report.statuses[ok]
+}
+
 // leave lets a backend server say that it leaves, and checks that it gets no work after its time.
 func (d *drill) leave(ctx context.Context) {
 	i := d.rng.IntN(len(d.fleet.targets))
--- a/soak/pkg/drill/fleet.go
+++ b/soak/pkg/drill/fleet.go
@@ -18,6 +18,7 @@
 	"rosemarygrade.dev/lib/pkg/fault"
 	"rosemarygrade.dev/platform/adapt"
 	"rosemarygrade.dev/platform/stand"
+	"rosemarygrade.dev/soak/pkg/relay"
 )
 
 // zones are the data centres; the first two are of one region.
@@ -41,9 +42,12 @@
 	store   *stand.Store
 	server  *http.Server
 	targets []*stand.Target
-	hosts   []*host
-	program string
-	logs    string
+	// links stand before the backend servers, and storeLink before the store.
+	links     []*relay.Relay
+	storeLink *relay.Relay
+	hosts     []*host
+	program   string
+	logs      string
 
 	mu      sync.Mutex
 	version int
@@ -89,6 +93,9 @@
 	}
 	f.server = &http.Server{Handler: f.store, ReadHeaderTimeout: readyWait}
 	go func() { _ = f.server.Serve(l) }()
+	if f.storeLink, err = relay.New(ctx, l.Addr().String()); err != nil {
+		return nil, fault.Wrap("store", KindStart, err)
+	}
 	f.configure()
 	for i := range targetsEach * len(zones) {
 		t, err := stand.NewTarget(fmt.Sprintf("i-%d", i), "127.0.0.1")
@@ -96,7 +103,11 @@
 			return nil, fault.Wrap("backend server", KindStart, err)
 		}
 		t.SetWork(workMost * time.Duration(i+1) / time.Duration(targetsEach*len(zones)))
-		f.targets = append(f.targets, t)
+		link, err := relay.New(ctx, t.Address())
+		if err != nil {
+			return nil, fault.Wrap("backend server", KindStart, err)
+		}
+		f.targets, f.links = append(f.targets, t), append(f.links, link)
 		f.declare(i, "ready")
 	}
 	base, err := freeBase(ctx)
@@ -104,7 +115,7 @@
 		return nil, err
 	}
 	for i := range max(p.Hosts, 2) {
-		h, err := writeSettings(dir, l.Addr().String(), i, base)
+		h, err := writeSettings(dir, f.storeLink.Address(), i, base)
 		if err != nil {
 			return nil, err
 		}
@@ -206,7 +217,7 @@
 }
 
 func (f *fleet) declare(i int, state string) {
-	f.store.Set(stand.KindBackends, fmt.Sprintf("i-%d", i), f.targets[i].Entry(service, zones[i%len(zones)], state, slots))
+	f.store.Set(stand.KindBackends, fmt.Sprintf("i-%d", i), f.targets[i].EntryAt(f.links[i].Address(), service, zones[i%len(zones)], state, slots))
 }
 
 // signal sends a signal to a host's process.
@@ -232,6 +243,15 @@
 	}
 }
 
+// herd kills all hosts at once and starts them again.
+func (f *fleet) herd(ctx context.Context) {
+	var group sync.WaitGroup
+	for _, h := range f.hosts {
+		group.Go(func() { f.restart(ctx, h, syscall.SIGKILL) })
+	}
+	group.Wait()
+}
+
 // suspend stops a host's process for a while.
 func (f *fleet) suspend(ctx context.Context, h *host, d time.Duration) {
 	h.setHurt(true)
@@ -259,8 +279,10 @@
 	for _, h := range f.hosts {
 		errs = append(errs, h.command.Wait())
 	}
-	for _, t := range f.targets {
+	for i, t := range f.targets {
+		f.links[i].Close()
 		t.Close()
 	}
+	f.storeLink.Close()
 	return errors.Join(append(errs, f.server.Close())...)
 }
