A planned stop answers what is read after its begin

Change: front ends its connections by itself: no new ones, each answers its request and closes, silent ones are closed after 1 s, then the server is closed. Red first: front.TestShutdownAnswersLateRequests (unexpected EOF with Shutdown in its place).

--- a/edged/pkg/front/front.go
+++ b/edged/pkg/front/front.go
@@ -37,8 +37,14 @@
 // acceptPause is the pause after a connection that could not be taken, such as for want of descriptors.
 const acceptPause = 10 * time.Millisecond
 
-// acceptSettle is how long a connection may be between the listener and its server's list: a scheduling delay.
-const acceptSettle = 100 * time.Millisecond
+// Times of a stop.
+const (
+	// stopPoll is how often it is looked whether all connections have ended.
+	stopPoll = 2 * time.Millisecond
+	// firstWait is how long a connection on which nothing was sent yet may still send its first request: callers give
+	// a new connection a second.
+	firstWait = time.Second
+)
 
 // Front serves callers. It is safe for concurrent use.
 type Front struct {
@@ -60,6 +66,52 @@
 	closed chan struct{}
 	once   sync.Once
 	addr   net.Addr
+
+	mu sync.Mutex
+	// handed is how many connections were given to the server, known how many it has begun to serve.
+	handed, known int
+	// open holds the connections and whether a request was begun on each.
+	open map[net.Conn]bool
+}
+
+// watch follows the states of connections.
+func (l *lane) watch(c net.Conn, state http.ConnState) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	switch state {
+	case http.StateNew:
+		l.known++
+		l.open[c] = false
+	case http.StateActive, http.StateIdle:
+		l.open[c] = true
+	case http.StateClosed, http.StateHijacked:
+		delete(l.open, c)
+	}
+}
+
+// hand gives a connection to the server, and tells whether it takes it.
+func (l *lane) hand(c net.Conn) bool {
+	select {
+	case l.conns <- c:
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		l.handed++
+		return true
+	case <-l.closed:
+		return false
+	}
+}
+
+// left returns how many connections are left after a while of a stop, and closes those on which nothing came.
+func (l *lane) left(stopped time.Duration) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for c, begun := range l.open {
+		if !begun && stopped > firstWait {
+			_ = c.Close()
+		}
+	}
+	return len(l.open) + l.handed - l.known
 }
 
 // Accept implements net.Listener.
@@ -104,9 +156,10 @@
 
 // open starts a server with the limits. Earlier ones keep their connections.
 func (f *Front) open(limits plan.Limits) {
-	l := &lane{conns: make(chan net.Conn), closed: make(chan struct{}), addr: f.listener.Addr()}
+	l := &lane{conns: make(chan net.Conn), closed: make(chan struct{}), addr: f.listener.Addr(), open: map[net.Conn]bool{}}
 	l.server = &http.Server{
 		Handler: f.handler, ReadHeaderTimeout: defaultHeaderWait, IdleTimeout: defaultIdleWait, MaxHeaderBytes: defaultHeaderBytes,
+		ConnState: l.watch,
 	}
 	if limits.HeaderTimeout > 0 {
 		l.server.ReadHeaderTimeout = limits.HeaderTimeout
@@ -149,9 +202,7 @@
 	f.mu.Lock()
 	l := f.current
 	f.mu.Unlock()
-	select {
-	case l.conns <- c:
-	case <-l.closed:
+	if !l.hand(c) {
 		_ = c.Close()
 	}
 }
@@ -160,24 +211,31 @@
 func (f *Front) Shutdown(ctx context.Context) error {
 	err := f.listener.Close()
 	<-f.taken
-	err = errors.Join(err, f.finish(ctx))
-	// A connection that was being handed over is on its server's list only now.
-	time.Sleep(acceptSettle)
-	if err = errors.Join(err, f.finish(ctx)); err != nil {
-		return fault.Wrap("shutdown", KindStop, err)
-	}
-	return nil
-}
-
-func (f *Front) finish(ctx context.Context) error {
 	f.mu.Lock()
 	lanes := f.lanes
 	f.mu.Unlock()
 	var group sync.WaitGroup
 	errs := make([]error, len(lanes))
 	for i, l := range lanes {
-		group.Go(func() { errs[i] = l.server.Shutdown(ctx) })
+		group.Go(func() { errs[i] = l.finish(ctx) })
 	}
 	group.Wait()
-	return errors.Join(errs...)
+	if err = errors.Join(append(errs, err)...); err != nil {
+		return fault.Wrap("shutdown", KindStop, err)
+	}
+	return nil
+}
+
+// finish waits for the answers to all requests. The server's own Shutdown drops a request that it reads after its
+// begin, so it is not used before the last connection has ended.
+func (l *lane) finish(ctx context.Context) error {
+	begin := time.Now()
+	l.server.SetKeepAlivesEnabled(false)
+	for l.left(time.Since(begin)) > 0 {
+		if ctx.Err() != nil {
+			return errors.Join(ctx.Err(), l.server.Close())
+		}
+		time.Sleep(stopPoll)
+	}
+	return l.server.Close()
 }
--- a/edged/pkg/front/front_test.go
+++ b/edged/pkg/front/front_test.go
@@ -7,10 +7,12 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 
 	"rosemarygrade.dev/lib/pkg/plan"
 )
@@ -121,3 +123,47 @@
 	_, err := net.Dial("tcp", address)
 	assert.Assert(t, err != nil, "no connection is taken")
 }
+
+// TestShutdownAnswersLateRequests sends requests after the stop has begun, on connections from before it: one that the
+// server knows, and one that is still between the listener and the server, as on a busy machine.
+func TestShutdownAnswersLateRequests(t *testing.T) {
+	f, address := newFront(t, fine)
+	known, knownReader := open(t, address)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if f.current.left(0) == 1 {
+			return poll.Success()
+		}
+		return poll.Continue("connection not known")
+	})
+	held, release := make(chan struct{}), make(chan struct{})
+	free := sync.OnceFunc(func() { close(release) })
+	t.Cleanup(free)
+	f.mu.Lock()
+	f.current.server.ConnContext = func(ctx context.Context, _ net.Conn) context.Context {
+		close(held)
+		<-release
+		return ctx
+	}
+	f.mu.Unlock()
+	late, lateReader := open(t, address)
+	<-held
+	ended := make(chan error, 1)
+	go func() { ended <- f.Shutdown(context.Background()) }()
+	time.Sleep(50 * time.Millisecond)
+	assert.Equal(t, ask(t, known, knownReader, 10), http.StatusOK)
+	free()
+	assert.Equal(t, ask(t, late, lateReader, 10), http.StatusOK)
+	assert.NilError(t, <-ended)
+}
+
+func TestShutdownClosesWhatStaysSilent(t *testing.T) {
+	f, address := newFront(t, fine)
+	_, silent := open(t, address)
+	c, idle := open(t, address)
+	assert.Equal(t, ask(t, c, idle, 10), http.StatusOK)
+	assert.NilError(t, f.Shutdown(context.Background()))
+	for _, r := range []*bufio.Reader{silent, idle} {
+		_, err := r.ReadByte()
+		assert.ErrorIs(t, err, io.EOF)
+	}
+}
