Hosts that do not follow the store ask four times less often whether they should

Cause: four topics asked 20 times a second on each host; wake-ups are charged, and on 84 machines the idle fleet alone took 49.7 s of processor time in 11 s.

--- a/edged/pkg/follow/follow.go
+++ b/edged/pkg/follow/follow.go
@@ -24,8 +24,9 @@
 	probeWait  = 600 * time.Millisecond
 	// eventWait is how long the event of a change may take beyond the answer that tells of it.
 	eventWait = 300 * time.Millisecond
-	// idlePause is how often a host that does not follow asks whether it should.
-	idlePause = 50 * time.Millisecond
+	// idlePause is how often a host that does not follow asks whether it should: a wake-up costs processor time on each of
+	// many hosts, and a change must be in force 2.5 s after it.
+	idlePause = 200 * time.Millisecond
 )
 
 // Follower follows a source while it is one of those that should.
