--- a/edged/pkg/front/front.go
+++ b/edged/pkg/front/front.go
@@ -209,18 +209,18 @@
 
 // Shutdown takes no more connections and waits until all requests are answered or the context ends.
 func (f *Front) Shutdown(ctx context.Context) error {
-	err := f.listener.Close()
+	closing := f.listener.Close()
 	<-f.taken
 	f.mu.Lock()
 	lanes := f.lanes
 	f.mu.Unlock()
 	var group sync.WaitGroup
-	errs := make([]error, len(lanes))
+	finishing := make([]error, len(lanes))
 	for i, l := range lanes {
-		group.Go(func() { errs[i] = l.finish(ctx) })
+		group.Go(func() { finishing[i] = l.finish(ctx) })
 	}
 	group.Wait()
-	if err = errors.Join(append(errs, err)...); err != nil {
+	if err := errors.Join(closing, errors.Join(finishing...)); err != nil {
 		return fault.Wrap("shutdown", KindStop, err)
 	}
 	return nil
--- a/edged/pkg/front/front_test.go
+++ b/edged/pkg/front/front_test.go
@@ -112,8 +112,8 @@
 	ended := make(chan error, 1)
 	go func() { ended <- f.Shutdown(context.Background()) }()
 	select {
-	case <-ended:
-		t.Fatal("requests were cut")
+	case err := <-ended:
+		t.Fatalf("requests were cut: %v", err)
 	case <-time.After(200 * time.Millisecond):
 	}
 	close(leave)
--- a/simul/pkg/polic/polic.go
+++ b/simul/pkg/polic/polic.go
@@ -40,6 +40,23 @@
 	return rules, nil
 }
 
+// setters are the figures that a policy may change.
+func setters() map[string]func(r *pick.Rules, n float64) {
+	millis := func(n float64) time.Duration { return time.Duration(n * float64(time.Millisecond)) }
+	return map[string]func(r *pick.Rules, n float64){
+		"homes":           func(r *pick.Rules, n float64) { r.Homes = int(n) },
+		"firstFree":       func(r *pick.Rules, n float64) { r.FirstFree = n },
+		"furtherFree":     func(r *pick.Rules, n float64) { r.FurtherFree = n },
+		"freeShare":       func(r *pick.Rules, n float64) { r.FirstFree, r.FurtherFree = n, n },
+		"spillUse":        func(r *pick.Rules, n float64) { r.SpillUse = n },
+		"parked":          func(r *pick.Rules, n float64) { r.Parked = n },
+		"workWeight":      func(r *pick.Rules, n float64) { r.WorkWeight = n },
+		"lateShare":       func(r *pick.Rules, n float64) { r.LateShare = n },
+		"retryRoomMillis": func(r *pick.Rules, n float64) { r.RetryRoom = millis(n) },
+		"farMillis":       func(r *pick.Rules, n float64) { r.FarTime = millis(n) },
+	}
+}
+
 // Set changes one figure.
 func Set(r *pick.Rules, name, value string) error {
 	if name == "hold" {
@@ -50,33 +67,14 @@
 		r.Hold = b
 		return nil
 	}
+	set, known := setters()[name]
+	if !known {
+		return fault.New("policy", KindValue, "no rule is named "+name)
+	}
 	n, err := strconv.ParseFloat(value, 64)
 	if err != nil {
 		return fault.Wrap("policy "+name, KindValue, err)
 	}
-	switch name {
-	case "homes":
-		r.Homes = int(n)
-	case "firstFree":
-		r.FirstFree = n
-	case "furtherFree":
-		r.FurtherFree = n
-	case "freeShare":
-		r.FirstFree, r.FurtherFree = n, n
-	case "spillUse":
-		r.SpillUse = n
-	case "parked":
-		r.Parked = n
-	case "workWeight":
-		r.WorkWeight = n
-	case "lateShare":
-		r.LateShare = n
-	case "retryRoomMillis":
-		r.RetryRoom = time.Duration(n * float64(time.Millisecond))
-	case "farMillis":
-		r.FarTime = time.Duration(n * float64(time.Millisecond))
-	default:
-		return fault.New("policy", KindValue, "no rule is named "+name)
-	}
+	set(r, n)
 	return nil
 }
--- a/simul/pkg/scene/scene.go
+++ b/simul/pkg/scene/scene.go
@@ -165,7 +165,7 @@
 
 // Regions returns the names of the regions, in order.
 func (s *Scene) Regions() []string {
-	var out []string
+	out := make([]string, 0, len(s.DataCentres))
 	for _, d := range s.DataCentres {
 		out = append(out, d.Region)
 	}
--- a/soak/pkg/relay/relay.go
+++ b/soak/pkg/relay/relay.go
@@ -60,7 +60,7 @@
 		return nil, fault.Wrap("relay", KindListen, err)
 	}
 	r := &Relay{listener: l, to: to, harm: HarmNone, conns: map[net.Conn]bool{}}
-	go r.accept()
+	go r.accept(ctx)
 	return r, nil
 }
 
@@ -99,19 +99,19 @@
 	return r.harm
 }
 
-func (r *Relay) accept() {
+func (r *Relay) accept(ctx context.Context) {
 	for {
 		c, err := r.listener.Accept()
 		if err != nil {
 			return
 		}
-		go r.join(c)
+		go r.join(ctx, c)
 	}
 }
 
 // join joins a connection with one to the address.
-func (r *Relay) join(near net.Conn) {
-	far, err := net.Dial("tcp", r.to)
+func (r *Relay) join(ctx context.Context, near net.Conn) {
+	far, err := new(net.Dialer).DialContext(ctx, "tcp", r.to)
 	if err != nil {
 		_ = near.Close()
 		return
