SIGHUP is taken from the first line of a process to its last

The test's check after its SIGHUP was true already, so its channel was given back before the signal came, and nobody took it. The same moment exists in the program: a SIGHUP before the settings file is watched, or while it ends, kills it. Change: the channel is asked for first and kept. The test changes the file without changing its time, so that only the signal can find it (stricter than before).

--- a/edged/cmds/process.go
+++ b/edged/cmds/process.go
@@ -110,6 +110,7 @@
 }
 
 func run(ctx context.Context, s *Settings, path, layers string) error {
+	hup := hangups()
 	debug.SetGCPercent(gcPercent)
 	debug.SetMemoryLimit(int64(memoryUse * float64(s.MemoryMegabytes) * megabyte))
 	sink := logs.NewSink(os.Stdout)
@@ -134,7 +135,7 @@
 	g.Go(sink.Run)
 	follower := follow.New(p.source, p.state, p.mesh, factory.Layer("follow"))
 	g.Go(follower.Probe)
-	g.Go(func(ctx context.Context) error { return p.reload(ctx, path) })
+	g.Go(func(ctx context.Context) error { return p.reload(ctx, path, hup) })
 	for _, t := range plan.Topics() {
 		g.Go(func(ctx context.Context) error { return follower.Run(ctx, t) })
 	}
--- a/edged/cmds/reload.go
+++ b/edged/cmds/reload.go
@@ -15,12 +15,17 @@
 // settingsEvery is how often the settings file is looked at: it may change without a signal.
 const settingsEvery = 2 * time.Second
 
-// reload reads the settings again at SIGHUP and when the file has changed. Wrong settings are refused as
-// a whole.
-func (p *process) reload(ctx context.Context, path string) error {
+// hangups returns a channel for SIGHUP. It is asked for before all else and never given back: a SIGHUP that nobody
+// takes ends a process.
+func hangups() <-chan os.Signal {
 	hup := make(chan os.Signal, 1)
 	signal.Notify(hup, syscall.SIGHUP)
-	defer signal.Stop(hup)
+	return hup
+}
+
+// reload reads the settings again at SIGHUP and when the file has changed. Wrong settings are refused as
+// a whole.
+func (p *process) reload(ctx context.Context, path string, hup <-chan os.Signal) error {
 	t := time.NewTicker(settingsEvery)
 	defer t.Stop()
 	// The file may have changed between the start and now, so it is read once in any case.
--- a/edged/cmds/reload_test.go
+++ b/edged/cmds/reload_test.go
@@ -74,7 +74,7 @@
 	write(with(s.GraceSeconds))
 	var group sync.WaitGroup
 	t.Cleanup(group.Wait)
-	group.Go(func() { assert.Check(t, p.reload(t.Context(), path)) })
+	group.Go(func() { assert.Check(t, p.reload(t.Context(), path, hangups())) })
 	f := &fleet{t: t}
 	inForce := func(grace float64) {
 		t.Helper()
@@ -89,9 +89,11 @@
 		write(with(12))
 		inForce(12)
 	})
-	t.Run("SIGHUP reads the file again", func(t *testing.T) {
+	t.Run("SIGHUP reads the file again, also one whose time has not changed", func(t *testing.T) {
+		assert.NilError(t, os.WriteFile(path, with(13), 0o600))
+		assert.NilError(t, os.Chtimes(path, written, written))
 		assert.NilError(t, syscall.Kill(os.Getpid(), syscall.SIGHUP))
-		inForce(12)
+		inForce(13)
 	})
 }
 
