A stop closes only connections from which nothing has been read

The server's own closing of idle connections (SetKeepAlivesEnabled, Shutdown) closes one whose next request is being read at that moment; Shutdown then drops the request, and without Shutdown it is served to nobody. Ruled out: the grace time (no event=cut), the caller. Change: connections are guarded: reading and closing exclude each other, what arrives with the end is never read, and only connections that rest are closed. Test: front.TestGuard.

--- a/edged/pkg/front/front.go
+++ b/edged/pkg/front/front.go
@@ -44,6 +44,9 @@
 	// firstWait is how long a connection on which nothing was sent yet may still send its first request: callers give
 	// a new connection a second.
 	firstWait = time.Second
+	// restWait is how long a connection must have rested before it is closed: what came with the last request is
+	// taken up in far less.
+	restWait = 50 * time.Millisecond
 )
 
 // Front serves callers. It is safe for concurrent use.
@@ -70,22 +73,74 @@
 	mu sync.Mutex
 	// handed is how many connections were given to the server, known how many it has begun to serve.
 	handed, known int
-	// open holds the connections and whether a request was begun on each.
-	open map[net.Conn]bool
+	// open holds the connections, and since when they rest; a zero time says that they don't. served are those that
+	// have had a request.
+	open   map[*guard]time.Time
+	served map[*guard]bool
+}
+
+// guard is a connection that is closed only while nothing of a request has been read from it.
+type guard struct {
+	net.Conn
+
+	mu    sync.Mutex
+	busy  bool
+	ended bool
+}
+
+// Read implements net.Conn. What comes after the end is not read: nobody may act on it.
+func (g *guard) Read(p []byte) (int, error) {
+	n, err := g.Conn.Read(p)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.ended {
+		return 0, net.ErrClosed
+	}
+	g.busy = g.busy || n > 0
+	return n, err
+}
+
+// CloseWrite lets the server end its side first, so that the caller can read an answer to what it still sends.
+func (g *guard) CloseWrite() error {
+	if c, ok := g.Conn.(interface{ CloseWrite() error }); ok {
+		return c.CloseWrite()
+	}
+	return nil
+}
+
+// rest says that all requests that were read are answered.
+func (g *guard) rest() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.busy = false
+}
+
+// end closes the connection unless something of a request has been read.
+func (g *guard) end() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if !g.busy && !g.ended {
+		g.ended = true
+		_ = g.Close()
+	}
 }
 
 // watch follows the states of connections.
-func (l *lane) watch(c net.Conn, state http.ConnState) {
+func (l *lane) watch(now time.Time, g *guard, state http.ConnState) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	switch state {
 	case http.StateNew:
 		l.known++
-		l.open[c] = false
-	case http.StateActive, http.StateIdle:
-		l.open[c] = true
+		l.open[g] = now
+	case http.StateActive:
+		l.open[g] = time.Time{}
+	case http.StateIdle:
+		g.rest()
+		l.open[g], l.served[g] = now, true
 	case http.StateClosed, http.StateHijacked:
-		delete(l.open, c)
+		delete(l.open, g)
+		delete(l.served, g)
 	}
 }
 
@@ -102,13 +157,15 @@
 	}
 }
 
-// left returns how many connections are left after a while of a stop, and closes those on which nothing came.
-func (l *lane) left(stopped time.Duration) int {
+// left closes the connections that rest, and the new ones on which nothing has come for a while of the stop, and
+// returns how many connections are left.
+func (l *lane) left(now, begin time.Time) int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for c, begun := range l.open {
-		if !begun && stopped > firstWait {
-			_ = c.Close()
+	for g, since := range l.open {
+		rests := !since.IsZero() && now.Sub(since) > restWait
+		if rests && (l.served[g] || now.Sub(begin) > firstWait) {
+			g.end()
 		}
 	}
 	return len(l.open) + l.handed - l.known
@@ -118,7 +175,7 @@
 func (l *lane) Accept() (net.Conn, error) {
 	select {
 	case c := <-l.conns:
-		return c, nil
+		return &guard{Conn: c}, nil
 	case <-l.closed:
 		return nil, net.ErrClosed
 	}
@@ -156,10 +213,14 @@
 
 // open starts a server with the limits. Earlier ones keep their connections.
 func (f *Front) open(limits plan.Limits) {
-	l := &lane{conns: make(chan net.Conn), closed: make(chan struct{}), addr: f.listener.Addr(), open: map[net.Conn]bool{}}
+	l := &lane{conns: make(chan net.Conn), closed: make(chan struct{}), addr: f.listener.Addr(), open: map[*guard]time.Time{}, served: map[*guard]bool{}}
 	l.server = &http.Server{
 		Handler: f.handler, ReadHeaderTimeout: defaultHeaderWait, IdleTimeout: defaultIdleWait, MaxHeaderBytes: defaultHeaderBytes,
-		ConnState: l.watch,
+		ConnState: func(c net.Conn, state http.ConnState) {
+			if g, ok := c.(*guard); ok {
+				l.watch(time.Now(), g, state)
+			}
+		},
 	}
 	if limits.HeaderTimeout > 0 {
 		l.server.ReadHeaderTimeout = limits.HeaderTimeout
@@ -226,12 +287,12 @@
 	return nil
 }
 
-// finish waits for the answers to all requests. The server's own Shutdown drops a request that it reads after its
-// begin, so it is not used before the last connection has ended.
+// finish waits for the answers to all requests. The server's own ways of a stop drop a request that is read beside them
+// or close its connection, so they are not used before the last connection has ended. The handler asks callers
+// to close theirs.
 func (l *lane) finish(ctx context.Context) error {
 	begin := time.Now()
-	l.server.SetKeepAlivesEnabled(false)
-	for l.left(time.Since(begin)) > 0 {
+	for l.left(time.Now(), begin) > 0 {
 		if ctx.Err() != nil {
 			return errors.Join(ctx.Err(), l.server.Close())
 		}
--- a/edged/pkg/front/front_test.go
+++ b/edged/pkg/front/front_test.go
@@ -130,7 +130,7 @@
 	f, address := newFront(t, fine)
 	known, knownReader := open(t, address)
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
-		if f.current.left(0) == 1 {
+		if f.current.left(time.Time{}, time.Time{}) == 1 {
 			return poll.Success()
 		}
 		return poll.Continue("connection not known")
@@ -156,6 +156,43 @@
 	assert.NilError(t, <-ended)
 }
 
+// TestGuard checks that a connection from which something was read is not closed, and that nothing is read after its end.
+func TestGuard(t *testing.T) {
+	pair := func() (*guard, net.Conn) {
+		near, far := net.Pipe()
+		t.Cleanup(func() { _ = far.Close(); _ = near.Close() })
+		return &guard{Conn: near}, far
+	}
+	t.Run("read before the end", func(t *testing.T) {
+		g, far := pair()
+		go func() { _, _ = far.Write([]byte("GET")) }()
+		buf := make([]byte, 2)
+		_, err := io.ReadFull(g, buf)
+		assert.NilError(t, err)
+		g.end()
+		_, err = io.ReadFull(g, buf[:1])
+		assert.NilError(t, err, "it goes on")
+		g.rest()
+		g.end()
+		_, err = g.Read(buf)
+		assert.Assert(t, err != nil)
+	})
+	t.Run("what arrives with the end is not read", func(t *testing.T) {
+		g, far := pair()
+		g.mu.Lock()
+		got := make(chan int, 1)
+		go func() {
+			n, _ := g.Read(make([]byte, 3))
+			got <- n
+		}()
+		_, err := far.Write([]byte("GET"))
+		assert.NilError(t, err)
+		g.ended = true
+		g.mu.Unlock()
+		assert.Equal(t, <-got, 0)
+	})
+}
+
 func TestShutdownClosesWhatStaysSilent(t *testing.T) {
 	f, address := newFront(t, fine)
 	_, silent := open(t, address)
