Held entries are let go of with the next beat

An entry that goes just after the store's return is held for 2.2 s, and held entries were looked at once a second, so it could count for 3.2 s. Change: they are looked at with each beat, ten times a second. Red first: cmds.TestHeldEntriesEndWithABeat.

--- a/edged/cmds/process.go
+++ b/edged/cmds/process.go
@@ -180,14 +180,19 @@
 		case <-p.state.Changed():
 			urgent = true
 		}
-		now := time.Now()
-		p.applyLimits()
-		p.mesh.SetServing(p.isReady())
-		p.mesh.Tick(now, urgent)
-		p.table.DrainAll(now, p.state.View())
+		p.onBeat(time.Now(), urgent)
 	}
 }
 
+// onBeat does what is due several times a second.
+func (p *process) onBeat(now time.Time, urgent bool) {
+	p.state.Tick(now)
+	p.applyLimits()
+	p.mesh.SetServing(p.isReady())
+	p.mesh.Tick(now, urgent)
+	p.table.DrainAll(now, p.state.View())
+}
+
 // applyLimits puts the configuration's limits for callers' connections into force.
 func (p *process) applyLimits() {
 	c := p.state.View().Config()
@@ -220,7 +225,6 @@
 
 func (p *process) sweep(_ context.Context, now time.Time) {
 	v := p.state.View()
-	p.state.Tick(now)
 	p.table.Keep(now, v)
 	p.pool.Sweep(now, v.Knows)
 	p.meter.Set(meter.ConnsOpened, int64(p.pool.Opened()))
