watch: log from where changes came, and which backend servers leave or are held

Changes that come together were one line without names, so logs could not tell whether a host was late, had skipped a change, or held an entry. The line for many changes now names the backend servers that leave or are gone; each line has the way by which the change came, the peer and the age of a delta; holding an entry is logged. No decision is changed.

--- a/edged/pkg/gossip/delta.go
+++ b/edged/pkg/gossip/delta.go
@@ -5,6 +5,7 @@
 	"compress/gzip"
 	"encoding/json"
 	"io"
+	"net/netip"
 	"slices"
 	"time"
 
@@ -146,7 +147,7 @@
 }
 
 // receiveDeltas applies the deltas that follow on what this host has, and stores them to pass them on.
-func (m *Membership) receiveDeltas(now time.Time, list []delta) {
+func (m *Membership) receiveDeltas(now time.Time, from netip.Addr, list []delta) {
 	for _, d := range list {
 		if !slices.Contains(exchangedTopics(), d.Topic) {
 			continue
@@ -157,8 +158,8 @@
 		}
 		entries, err := d.entries()
 		if err == nil {
-			err = m.applySnapshot(now, now.Add(-time.Duration(d.AgeMillis)*time.Millisecond),
-				snapshot{Topic: d.Topic, Revision: d.Revision, Entries: entries})
+			origin := plan.Origin{Via: plan.ViaDelta, Peer: from.String(), Age: time.Duration(d.AgeMillis) * time.Millisecond}
+			err = m.applySnapshot(now, origin, snapshot{Topic: d.Topic, Revision: d.Revision, Entries: entries})
 		}
 		if err != nil {
 			m.log.Warn("changes from a peer ignored: they could not be decoded", "event", "mesh", "topic", string(d.Topic), "error", err)
--- a/edged/pkg/gossip/fuzz_test.go
+++ b/edged/pkg/gossip/fuzz_test.go
@@ -81,7 +81,7 @@
 		"hosts":               {Topic: plan.TopicMembers, Base: 0, Revision: 6, Entries: []byte("[]")},
 	} {
 		t.Run(name, func(t *testing.T) {
-			m.receiveDeltas(start, []delta{d})
+			m.receiveDeltas(start, netip.MustParseAddr("127.0.0.2"), []delta{d})
 			revision, _ := m.state.Revision(plan.TopicBackends)
 			assert.Equal(t, revision, before)
 			assert.Equal(t, len(m.changes.recent), 0)
--- a/edged/pkg/gossip/gossip.go
+++ b/edged/pkg/gossip/gossip.go
@@ -389,7 +389,7 @@
 		m.state.ReportRecovery(now, time.Duration(hb.StoreRecoveryAgeMillis)*time.Millisecond)
 	}
 	m.receiveLoad(now, hb, newer)
-	m.receiveDeltas(now, hb.Deltas)
+	m.receiveDeltas(now, ip, hb.Deltas)
 	m.notePeerRevisions(now, ip, hb.Revisions)
 	m.pullIfDue(ctx, now)
 }
--- a/edged/pkg/gossip/pull.go
+++ b/edged/pkg/gossip/pull.go
@@ -156,19 +156,20 @@
 	}
 	now := m.network.now()
 	for _, s := range snapshots {
-		if err := m.applySnapshot(now, now, s); err != nil {
+		if err := m.applySnapshot(now, plan.Origin{Via: plan.ViaPull, Peer: address.Addr().String()}, s); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
-// applySnapshot applies a snapshot in which durations count from encodedAt.
-func (m *Membership) applySnapshot(now, encodedAt time.Time, s snapshot) error {
-	snap, err := decodeSnapshot(encodedAt, s)
+// applySnapshot applies a snapshot. Durations in it count from when it was encoded.
+func (m *Membership) applySnapshot(now time.Time, origin plan.Origin, s snapshot) error {
+	snap, err := decodeSnapshot(now.Add(-origin.Age), s)
 	if err != nil {
 		return err
 	}
+	snap.Origin = origin
 	m.state.ApplySnapshot(now, snap)
 	return nil
 }
--- a/edged/pkg/watch/state.go
+++ b/edged/pkg/watch/state.go
@@ -23,11 +23,9 @@
 	// Full reports whether Changes holds all resources of the topic, so that any other no longer exists.
 	Full    bool
 	Changes []plan.Change
+	Origin  plan.Origin
 }
 
-// maxLoggedChanges is how many changes that come together are logged as a line each.
-const maxLoggedChanges = 8
-
 // maxTombstones is how many tombstones a topic keeps. A peer that is older than the oldest one gets the whole topic.
 const maxTombstones = 512
 
@@ -46,8 +44,8 @@
 	unavailable bool
 	// relinquished means that the store was unavailable when this host last read it.
 	relinquished bool
-	// bulk is set while a topic is loaded for the first time or many resources change: they are logged as one line.
-	bulk bool
+	// batch is what is logged of the listing that is being applied.
+	batch batch
 	// newest is the highest revision of a change, in any topic.
 	newest uint64
 }
@@ -196,8 +194,7 @@
 	}
 	seen := make(map[string]bool, len(l.Changes))
 	dirty := !top.loaded
-	s.bulk = dirty
-	defer func() { s.bulk = false }()
+	s.batch = batch{origin: l.Origin, bulk: dirty}
 	for _, c := range l.Changes {
 		seen[c.Name] = true
 		dirty = s.applyReceived(now, t, top, c) || dirty
@@ -213,9 +210,7 @@
 	if !top.loaded {
 		top.tombstonesSince = l.Revision
 	}
-	if s.bulk {
-		s.log.Info("resources loaded", "event", "loaded", "topic", string(t), "count", len(l.Changes), "revision", l.Revision)
-	}
+	s.logBatch("resources loaded", t, l)
 	top.loaded, top.revision = true, l.Revision
 	s.publish(t, dirty)
 }
@@ -230,16 +225,13 @@
 		return
 	}
 	dirty, newest := false, uint64(0)
-	s.bulk = len(l.Changes) > maxLoggedChanges
-	defer func() { s.bulk = false }()
+	s.batch = batch{origin: l.Origin, bulk: len(l.Changes) > maxLoggedChanges}
 	for _, c := range l.Changes {
 		if s.applyReceived(now, t, top, c) {
 			dirty, newest = true, max(newest, c.Revision)
 		}
 	}
-	if s.bulk {
-		s.log.Info("resources changed", "event", "loaded", "topic", string(t), "count", len(l.Changes), "revision", l.Revision)
-	}
+	s.logBatch("resources changed", t, l)
 	top.revision = max(top.revision, l.Revision)
 	if dirty {
 		top.contentRevision = newContentRevision(top, newest)
@@ -258,7 +250,7 @@
 
 // ApplySnapshot applies a snapshot from a peer.
 func (s *State) ApplySnapshot(now time.Time, snap Snapshot) {
-	l := plan.Listing{Revision: snap.Revision, Changes: snap.Changes}
+	l := plan.Listing{Revision: snap.Revision, Changes: snap.Changes, Origin: snap.Origin}
 	if snap.Full {
 		s.Replace(now, snap.Topic, l)
 		return
@@ -304,10 +296,10 @@
 	}
 	c.Resource = item
 	top.items[c.Name] = c
-	if s.bulk {
-		return true
+	s.batch.noteChange(old, c)
+	if !s.batch.bulk {
+		s.log.Info("resource changed", append(originAttrs(s.batch.origin), "event", "declared", "topic", string(t), "name", c.Name, "revision", c.Revision)...)
 	}
-	s.log.Info("resource changed", "event", "declared", "topic", string(t), "name", c.Name, "revision", c.Revision)
 	return true
 }
 
@@ -341,10 +333,10 @@
 	delete(top.items, c.Name)
 	top.addTombstone(c)
 	s.holdIfUnavailable(now, c.Name, old)
-	if s.bulk {
-		return
+	s.batch.noteRemoval(old)
+	if !s.batch.bulk {
+		s.log.Info("resource removed", append(originAttrs(s.batch.origin), "event", "removed", "topic", string(t), "name", c.Name, "revision", c.Revision)...)
 	}
-	s.log.Info("resource removed", "event", "removed", "topic", string(t), "name", c.Name, "revision", c.Revision)
 }
 
 // keepEarlierSlowStartEnd keeps the earlier end of a slow start while the backend server's incarnation is the same. An
@@ -370,6 +362,8 @@
 		until = now.Add(holdAfterRecovery)
 	}
 	s.held[name] = hold{spec: spec, until: until}
+	s.log.Info("backend server held: its entry was removed during or shortly after a store outage", "event", "held", "backend", name,
+		"unavailable", s.unavailable, "forMillis", until.Sub(now).Milliseconds())
 }
 
 // publish publishes a new view if dirty is set, unless the topic is not part of the view.
--- a/edged/pkg/watch/watch.go
+++ b/edged/pkg/watch/watch.go
@@ -204,6 +204,7 @@
 		if err != nil {
 			return err
 		}
+		l.Origin = plan.Origin{Via: plan.ViaList}
 		w.state.Replace(time.Now(), t, l)
 		return nil
 	}
@@ -217,6 +218,7 @@
 	if err != nil {
 		return err
 	}
+	l.Origin = plan.Origin{Via: plan.ViaWatch}
 	w.state.Update(time.Now(), t, l)
 	if len(l.Changes) > 0 {
 		sleep(ctx, watchPause)
--- a/lib/pkg/plan/change.go
+++ b/lib/pkg/plan/change.go
@@ -51,10 +51,33 @@
 	Resource Resource
 }
 
+// Via is the way by which a host learned of changes.
+type Via string
+
+// Ways of learning of changes.
+const (
+	// ViaList and ViaWatch are calls to the store.
+	ViaList  Via = "list"
+	ViaWatch Via = "watch"
+	// ViaDelta is a heartbeat of a peer that held the changes, ViaPull the response of a peer to a pull.
+	ViaDelta Via = "delta"
+	ViaPull  Via = "pull"
+)
+
+// Origin tells from where a listing came, for logs.
+type Origin struct {
+	Via Via
+	// Peer is the address of the host that sent the listing; empty means the store.
+	Peer string
+	// Age is the time since a watcher read the changes from the store, if the peer reports it.
+	Age time.Duration
+}
+
 // Listing is the result of a list or a watch: all resources of a topic, or only the changed ones, as of a revision.
 type Listing struct {
 	Revision uint64
 	Changes  []Change
+	Origin   Origin
 }
 
 // Store is a client of the store that holds the resources.
