adapt: a list of several pages is exact as of one revision

Cause, by the code: with more than a page of backend servers, a list had the revision of its first page and the contents of later ones. A removal between two pages was inferred under the list's revision. If the host had been at that revision already, it announced nothing, and the next delta left the removal out, though it raised its peers' revision past it: a whole region kept the entry. Class: a reader claims a revision for a state that it read at several.

--- a/lib/pkg/plan/change.go
+++ b/lib/pkg/plan/change.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 )
 
@@ -80,6 +81,30 @@
 	Origin   Origin
 }
 
+// Apply applies the changes that a watch from the listing's revision returned. Of a listing that was read in several parts while resources
+// changed, the result is exact as of the watch's revision.
+func (l *Listing) Apply(watched Listing) {
+	index := make(map[string]int, len(l.Changes))
+	for i, c := range l.Changes {
+		index[c.Name] = i
+	}
+	for _, c := range watched.Changes {
+		i, found := index[c.Name]
+		switch {
+		case !found:
+			index[c.Name] = len(l.Changes)
+			l.Changes = append(l.Changes, c)
+		case l.Changes[i].Revision <= c.Revision:
+			l.Changes[i] = c
+		}
+	}
+	l.Changes = slices.DeleteFunc(l.Changes, func(c Change) bool {
+		_, removed := c.Resource.(Removed)
+		return removed
+	})
+	l.Revision = max(l.Revision, watched.Revision)
+}
+
 // Store is a client of the store that holds the resources.
 type Store interface {
 	// List returns all resources of a topic. Durations in a resource are converted to points in time
