watch: pass on removals of resources that this host never had

Cause: a removal of a resource that a host does not have left no tombstone, and a list in place of watched changes leaves none for what was created and removed meanwhile. Peers that have such a resource then take a delta or a pull from this host as complete. Change: such removals leave tombstones and raise the content revision; the ranges of revisions that were only listed are kept, and a peer that is within one gets the whole topic.

--- a/edged/pkg/watch/state.go
+++ b/edged/pkg/watch/state.go
@@ -5,6 +5,7 @@
 
 import (
 	"log/slog"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -29,6 +30,9 @@
 // maxTombstones is how many tombstones a topic keeps. A peer that is older than the oldest one gets the whole topic.
 const maxTombstones = 512
 
+// maxGaps is how many gaps a topic keeps.
+const maxGaps = 8
+
 // State is the host's copy of the store's resources. It is safe for concurrent use.
 type State struct {
 	log     *slog.Logger
@@ -56,9 +60,33 @@
 	contentRevision uint64
 	loaded          bool
 	items           map[string]plan.Change
-	// tombstones holds the last removals: all of those after the revision tombstonesSince.
+	// tombstones holds the last removals: all of those after the revision tombstonesSince, but for those in gaps.
 	tombstones      []plan.Change
 	tombstonesSince uint64
+	gaps            []gap
+}
+
+// gap is a range of revisions, both ends excluded, of which only the result was received, by a list. A resource that was both created
+// and removed within it has no tombstone.
+type gap struct{ from, to uint64 }
+
+// addGap records a gap and forgets the oldest one if there are too many.
+func (t *topic) addGap(g gap) {
+	t.gaps = append(t.gaps, g)
+	if len(t.gaps) > maxGaps {
+		t.tombstonesSince = max(t.tombstonesSince, t.gaps[0].to)
+		t.gaps = t.gaps[1:]
+	}
+}
+
+// needsAll reports whether a peer that has the topic at a revision may have resources that were removed without a tombstone here.
+func (t *topic) needsAll(have uint64) bool {
+	return have < t.tombstonesSince || slices.ContainsFunc(t.gaps, func(g gap) bool { return g.from < have && have < g.to })
+}
+
+// hasTombstone reports whether a removal, or a later one of the same resource, has a tombstone.
+func (t *topic) hasTombstone(c plan.Change) bool {
+	return slices.ContainsFunc(t.tombstones, func(old plan.Change) bool { return old.Name == c.Name && old.Revision >= c.Revision })
 }
 
 // addTombstone records a removal and evicts the oldest tombstone if there are too many.
@@ -207,8 +235,11 @@
 	if dirty {
 		top.contentRevision = l.Revision
 	}
-	if !top.loaded {
+	switch {
+	case !top.loaded:
 		top.tombstonesSince = l.Revision
+	case l.Revision > top.revision:
+		top.addGap(gap{from: top.revision, to: l.Revision})
 	}
 	s.logBatch("resources loaded", t, l)
 	top.loaded, top.revision = true, l.Revision
@@ -224,30 +255,25 @@
 	if l.Revision < top.revision {
 		return
 	}
-	dirty, newest := false, uint64(0)
+	dirty, newest := false, top.contentRevision
 	s.batch = batch{origin: l.Origin, bulk: len(l.Changes) > maxLoggedChanges}
 	for _, c := range l.Changes {
-		if s.applyReceived(now, t, top, c) {
-			dirty, newest = true, max(newest, c.Revision)
-		}
+		dirty = s.applyReceived(now, t, top, c) || dirty
+		newest = max(newest, c.Revision)
 	}
 	s.logBatch("resources changed", t, l)
 	top.revision = max(top.revision, l.Revision)
-	if dirty {
-		top.contentRevision = newContentRevision(top, newest)
+	switch {
+	case newest > top.contentRevision:
+		// Also if a list delivered the change before: it was then passed on under the revision of that list, which is lower. Hosts that
+		// read the changes in different responses of the store agree on the revision of the newest one.
+		top.contentRevision = newest
+	case dirty:
+		top.contentRevision = top.revision
 	}
 	s.publish(t, dirty)
 }
 
-// newContentRevision returns the content revision after changes up to newest. It is that of the newest change where
-// possible, so that hosts which read the changes in different responses of the store agree on it.
-func newContentRevision(top *topic, newest uint64) uint64 {
-	if newest > top.contentRevision {
-		return newest
-	}
-	return top.revision
-}
-
 // ApplySnapshot applies a snapshot from a peer.
 func (s *State) ApplySnapshot(now time.Time, snap Snapshot) {
 	l := plan.Listing{Revision: snap.Revision, Changes: snap.Changes, Origin: snap.Origin}
@@ -324,14 +350,17 @@
 	return c.Resource, true
 }
 
-// remove deletes a resource and records a tombstone.
+// remove deletes a resource and records a tombstone, also for a resource that this host does not have: a list may have left it out
+// before its removal was received, and peers may still have it.
 func (s *State) remove(now time.Time, t plan.Topic, top *topic, c plan.Change) {
+	if !top.hasTombstone(c) {
+		top.addTombstone(c)
+	}
 	old, had := top.items[c.Name]
 	if !had {
 		return
 	}
 	delete(top.items, c.Name)
-	top.addTombstone(c)
 	s.holdIfUnavailable(now, c.Name, old)
 	s.batch.noteRemoval(old)
 	if !s.batch.bulk {
@@ -392,7 +421,7 @@
 }
 
 // Snapshot returns a snapshot of a topic for a peer that has the topic at a revision, and whether the topic is newer than
-// that. It is full if the peer has nothing of the topic or is older than the tombstones.
+// that. It is full if the peer has nothing of the topic or may have what was removed without a tombstone.
 func (s *State) Snapshot(t plan.Topic, have uint64) (Snapshot, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -400,7 +429,7 @@
 	if !top.loaded || top.contentRevision <= have {
 		return Snapshot{}, false
 	}
-	snap := Snapshot{Topic: t, Revision: top.contentRevision, Full: have == 0 || have < top.tombstonesSince}
+	snap := Snapshot{Topic: t, Revision: top.contentRevision, Full: have == 0 || top.needsAll(have)}
 	for _, c := range top.tombstones {
 		if !snap.Full && c.Revision > have {
 			snap.Changes = append(snap.Changes, c)
