watch: hold removed backend servers only after an outage that all hosts had

Callers saw: requests reach a backend server up to seconds after its entry was removed from the store. Cause: a host that lost the store alone held every entry whose removal its peers passed on for as long as its own outage lasted, and when it was back, its heartbeats told all hosts of a recovery, so that each held entries removed within the next 2.2 s. Class: the state of one host's connection taken for the state of the store. Change: the host that reads a removal from the store decides whether it is held, and passes the rest of the hold time on with it. An outage is local if another host has reached the store for 2.2 s; it starts no hold and is not reported as a recovery. A host that is no watcher any more no longer says that it reaches the store. Tests: watch.TestLocalOutageHoldsNothing, TestHoldIsPassedOn.

--- a/edged/pkg/gossip/elect.go
+++ b/edged/pkg/gossip/elect.go
@@ -1,6 +1,7 @@
 package gossip
 
 import (
+	"slices"
 	"time"
 
 	"rosemarygrade.dev/lib/pkg/plan"
@@ -23,6 +24,9 @@
 	watcherRole           = "watcher"
 	// electionTTL is how long the result of an election is used.
 	electionTTL = 100 * time.Millisecond
+	// steadyReach is how long a host must have reached the store for its peers to conclude that their own outage is local. After an
+	// outage of all hosts it is long enough for entries that expired to be back.
+	steadyReach = 2200 * time.Millisecond
 )
 
 // elections caches the results of IsElectedFor since a time, by the backend server's key.
@@ -58,6 +62,19 @@
 		m.elected = make(chan struct{})
 	}
 	m.watcher = on
+	if !on && m.store == storeReachable {
+		// It no longer calls the store, so it could not tell when an outage begins.
+		m.store = storeNotContacted
+	}
+}
+
+// PeersReachStore reports whether another host has reached the store for steadyReach.
+func (m *Membership) PeersReachStore(now time.Time) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return slices.ContainsFunc(m.sorted, func(h *Host) bool {
+		return h.store == storeReachable && m.isAlive(now, h) && now.Sub(h.reachableSince) >= steadyReach
+	})
 }
 
 // Elected returns a channel that is closed once this host is a watcher. Tick holds the election.
--- a/edged/pkg/gossip/fleet_test.go
+++ b/edged/pkg/gossip/fleet_test.go
@@ -35,6 +35,10 @@
 	objects  map[plan.Topic]map[string]plan.Change
 	// cut reports whether no message passes from one host to another; nil means that all do.
 	cut func(a, b *fleetHost) bool
+	// storeAway reports whether the store does not respond to a host; nil means that it does to all.
+	storeAway func(h *fleetHost) bool
+	// pullTime returns how long a pull takes until it is served; nil means fleetPullTime.
+	pullTime func() time.Duration
 }
 
 type fleetHost struct {
@@ -45,6 +49,8 @@
 	down, stopping bool
 	// receiving is true while it handles a message; what it sends then is a reply.
 	receiving, listed bool
+	// probedAt is when it last called a store that did not respond.
+	probedAt time.Time
 	// learnedAt is when the host had the newest backend servers for the first time since the last change of them.
 	learnedAt time.Time
 }
@@ -84,6 +90,9 @@
 	fleetSeeds       = 3
 	fleetDataCentres = 9
 	fleetTick        = 100 * time.Millisecond
+	fleetPullTime    = 10 * time.Millisecond
+	// fleetRetryInterval is the time between calls of a host to a store that does not respond.
+	fleetRetryInterval = 2 * time.Second
 )
 
 func newFleet(t testing.TB, size, backends int) *fleet {
@@ -192,6 +201,7 @@
 		return
 	}
 	h.readStore()
+	h.state.ExpireHeld(f.now)
 	m.SetServing(h.state.View().Config() != nil && !h.stopping)
 	m.Tick(f.now, false)
 	h.handleChanges()
@@ -201,15 +211,39 @@
 // readStore lists the store, or reads its changes, if the host is a watcher.
 func (h *fleetHost) readStore() {
 	f := h.fleet
-	if !h.m.IsWatcher(f.now) {
+	if h.m.MustRetry() && f.now.Sub(h.probedAt) < fleetRetryInterval {
+		return
+	}
+	watcher := h.m.IsWatcher(f.now)
+	if !watcher {
 		h.listed = false
+		h.state.Relinquish()
+		if !h.m.MustRetry() {
+			return
+		}
+	}
+	if f.storeAway != nil && f.storeAway(h) {
+		h.listed, h.probedAt = false, f.now
+		h.m.SetStoreReachable(false)
+		if watcher {
+			h.state.SetLocalOutage(h.m.PeersReachStore(f.now))
+			h.state.SetUnavailable(f.now)
+		}
+		return
+	}
+	h.m.SetStoreReachable(true)
+	if !watcher {
 		return
 	}
+	if !h.listed {
+		h.state.SetLocalOutage(h.m.PeersReachStore(f.now))
+	}
+	defer h.state.SetAvailable(f.now)
 	for _, topic := range plan.Topics() {
 		rev, _ := h.state.Revision(topic)
 		l := plan.Listing{Revision: f.revision}
 		for _, c := range f.objects[topic] {
-			if !h.listed || c.Revision > rev {
+			if _, removed := c.Resource.(plan.Removed); (!h.listed && !removed) || (h.listed && c.Revision > rev) {
 				l.Changes = append(l.Changes, c)
 			}
 		}
@@ -238,12 +272,15 @@
 // upToDate reports whether the host has the newest configuration and backend servers.
 func (h *fleetHost) upToDate() bool {
 	v := h.state.View()
-	if v.Config() == nil || v.Backends() != len(h.fleet.objects[plan.TopicBackends]) {
-		return false
-	}
-	newest := uint64(0)
+	newest, backends := uint64(0), 0
 	for _, c := range h.fleet.objects[plan.TopicBackends] {
 		newest = max(newest, c.Revision)
+		if _, removed := c.Resource.(plan.Removed); !removed {
+			backends++
+		}
+	}
+	if v.Config() == nil || v.Backends() != backends {
+		return false
 	}
 	rev, _ := h.state.Revision(plan.TopicBackends)
 	return rev >= newest
@@ -290,7 +327,11 @@
 
 func (n *fleetNetwork) start(run func()) {
 	m := n.host.m
-	n.fleet.after(10*time.Millisecond, func() {
+	delay := fleetPullTime
+	if n.fleet.pullTime != nil {
+		delay = n.fleet.pullTime()
+	}
+	n.fleet.after(delay, func() {
 		if n.host.m == m && !n.host.down {
 			run()
 			n.host.handleChanges()
--- a/edged/pkg/gossip/pull.go
+++ b/edged/pkg/gossip/pull.go
@@ -57,6 +57,7 @@
 	Drained         bool              `json:"drained,omitempty"`
 	Unreadable      bool              `json:"unreadable,omitempty"`
 	Gone            bool              `json:"gone,omitempty"`
+	HoldMillis      int64             `json:"holdMillis,omitempty"`
 }
 
 // snapshot is the JSON form of a watch.Snapshot.
@@ -282,7 +283,7 @@
 	return out
 }
 
-// encodeSnapshot encodes the end of a slow start as the time left at now, because the clocks of hosts differ.
+// encodeSnapshot encodes the ends of slow starts and holds as the time left at now, because the clocks of hosts differ.
 func encodeSnapshot(now time.Time, s watch.Snapshot) snapshot {
 	out := snapshot{Topic: s.Topic, Revision: s.Revision, Full: s.Full}
 	for _, c := range s.Changes {
@@ -302,6 +303,9 @@
 			e.Drained = true
 		case plan.Removed:
 			e.Gone = true
+			if left := item.HoldUntil.Sub(now); left > 0 {
+				e.HoldMillis = left.Milliseconds()
+			}
 		case plan.Unreadable:
 			e.Unreadable = true
 		}
@@ -331,7 +335,11 @@
 		case e.Member != nil:
 			c.Resource = *e.Member
 		case e.Gone:
-			c.Resource = plan.Removed{}
+			removed := plan.Removed{}
+			if e.HoldMillis > 0 {
+				removed.HoldUntil = now.Add(time.Duration(e.HoldMillis) * time.Millisecond)
+			}
+			c.Resource = removed
 		case e.Drained:
 			c.Resource = plan.Drained{}
 		default:
--- a/edged/pkg/watch/state.go
+++ b/edged/pkg/watch/state.go
@@ -46,6 +46,8 @@
 	held        map[string]hold
 	recoveredAt time.Time
 	unavailable bool
+	// localOutage means that the store is, or was last, unavailable to this host while others reached it.
+	localOutage bool
 	// relinquished means that the store was unavailable when this host last read it.
 	relinquished bool
 	// batch is what is logged of the listing that is being applied.
@@ -169,7 +171,15 @@
 	return out
 }
 
-// SetUnavailable records that the store does not respond. Until it does, backend servers whose entries expire are held.
+// SetLocalOutage records whether other hosts reach the store while this one does not. If so, this host's outage says nothing of why
+// entries are removed.
+func (s *State) SetLocalOutage(local bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.localOutage = local
+}
+
+// SetUnavailable records that the store does not respond. Backend servers whose entries are missing when it does again are held.
 func (s *State) SetUnavailable(time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -180,11 +190,12 @@
 func (s *State) SetAvailable(now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !s.unavailable && !s.relinquished {
-		return false
+	wasUnavailable := s.unavailable || s.relinquished
+	if wasUnavailable && !s.localOutage {
+		s.recoveredAt = now
 	}
-	s.unavailable, s.relinquished, s.recoveredAt = false, false, now
-	return true
+	s.unavailable, s.relinquished, s.localOutage = false, false, false
+	return wasUnavailable
 }
 
 // Relinquish records that this host no longer reads the store itself. What its peers report counts at once then, also if this
@@ -290,7 +301,7 @@
 	defer s.mu.Unlock()
 	dirty := false
 	for id, h := range s.held {
-		if now.After(h.until) && !s.unavailable {
+		if now.After(h.until) && (!s.unavailable || s.localOutage) {
 			s.log.Info("held backend server deleted: its entry did not return after the store outage", "backend", id, "event", "gone")
 			delete(s.held, id)
 			dirty = true
@@ -353,15 +364,17 @@
 // remove deletes a resource and records a tombstone, also for a resource that this host does not have: a list may have left it out
 // before its removal was received, and peers may still have it.
 func (s *State) remove(now time.Time, t plan.Topic, top *topic, c plan.Change) {
+	old, had := top.items[c.Name]
+	if spec, ok := old.Resource.(plan.BackendSpec); ok && !spec.Leaving {
+		c.Resource = s.hold(now, spec, c)
+	}
 	if !top.hasTombstone(c) {
 		top.addTombstone(c)
 	}
-	old, had := top.items[c.Name]
 	if !had {
 		return
 	}
 	delete(top.items, c.Name)
-	s.holdIfUnavailable(now, c.Name, old)
 	s.batch.noteRemoval(old)
 	if !s.batch.bulk {
 		s.log.Info("resource removed", append(originAttrs(s.batch.origin), "event", "removed", "topic", string(t), "name", c.Name, "revision", c.Revision)...)
@@ -379,20 +392,29 @@
 	return item
 }
 
-// holdIfUnavailable keeps a backend server in the view if its entry was removed during a store outage or up to
-// holdAfterRecovery after it: the entry may have expired only because the backend server could not renew it.
-func (s *State) holdIfUnavailable(now time.Time, name string, old plan.Change) {
-	spec, ok := old.Resource.(plan.BackendSpec)
-	if !ok || spec.Leaving || (!s.unavailable && now.Sub(s.recoveredAt) > holdAfterRecovery) {
-		return
+// hold keeps a backend server in the view whose entry was removed, if the entry may have expired only because the backend server
+// could not renew it. It returns the removal for peers.
+func (s *State) hold(now time.Time, spec plan.BackendSpec, c plan.Change) plan.Removed {
+	removed, _ := c.Resource.(plan.Removed)
+	if !s.batch.origin.FromPeer() {
+		removed.HoldUntil = s.holdUntil(now)
 	}
-	until := s.recoveredAt.Add(holdAfterRecovery)
-	if s.unavailable {
-		until = now.Add(holdAfterRecovery)
+	if !removed.HoldUntil.After(now) {
+		return plan.Removed{}
+	}
+	s.held[c.Name] = hold{spec: spec, until: removed.HoldUntil}
+	s.log.Info("backend server held: its entry was removed during or shortly after a store outage", append(originAttrs(s.batch.origin),
+		"event", "held", "backend", c.Name, "forMillis", removed.HoldUntil.Sub(now).Milliseconds())...)
+	return removed
+}
+
+// holdUntil returns until when a backend server is held whose entry this host finds removed in the store: for holdAfterRecovery from the
+// end of the last outage that all hosts had.
+func (s *State) holdUntil(now time.Time) time.Time {
+	if s.unavailable && !s.localOutage {
+		return now.Add(holdAfterRecovery)
 	}
-	s.held[name] = hold{spec: spec, until: until}
-	s.log.Info("backend server held: its entry was removed during or shortly after a store outage", "event", "held", "backend", name,
-		"unavailable", s.unavailable, "forMillis", until.Sub(now).Milliseconds())
+	return s.recoveredAt.Add(holdAfterRecovery)
 }
 
 // publish publishes a new view if dirty is set, unless the topic is not part of the view.
@@ -431,7 +453,8 @@
 	}
 	snap := Snapshot{Topic: t, Revision: top.contentRevision, Full: have == 0 || top.needsAll(have)}
 	for _, c := range top.tombstones {
-		if !snap.Full && c.Revision > have {
+		removed, _ := c.Resource.(plan.Removed)
+		if held := !removed.HoldUntil.IsZero(); (snap.Full && held) || (!snap.Full && c.Revision > have) {
 			snap.Changes = append(snap.Changes, c)
 		}
 	}
--- a/edged/pkg/watch/watch.go
+++ b/edged/pkg/watch/watch.go
@@ -64,6 +64,8 @@
 	Elected() <-chan struct{}
 	// SetStoreReachable records whether this host reaches the store.
 	SetStoreReachable(ok bool)
+	// PeersReachStore reports whether other hosts have reached the store for some time.
+	PeersReachStore(now time.Time) bool
 }
 
 // New returns a watcher that keeps state up to date from source.
@@ -190,6 +192,7 @@
 func (w *Watcher) handleError(t plan.Topic, err error, listed bool) {
 	w.log.Warn("call to the store failed", "event", "lost", "topic", string(t), "watch", listed, "error", err)
 	if !listed {
+		w.state.SetLocalOutage(w.election.PeersReachStore(time.Now()))
 		w.state.SetUnavailable(time.Now())
 		w.source.CloseIdleConnections()
 	}
@@ -205,6 +208,7 @@
 			return err
 		}
 		l.Origin = plan.Origin{Via: plan.ViaList}
+		w.state.SetLocalOutage(w.election.PeersReachStore(time.Now()))
 		w.state.Replace(time.Now(), t, l)
 		return nil
 	}
--- a/edged/pkg/watch/watch_test.go
+++ b/edged/pkg/watch/watch_test.go
@@ -164,6 +164,8 @@
 
 func (alwaysElected) SetStoreReachable(bool) {}
 
+func (alwaysElected) PeersReachStore(time.Time) bool { return false }
+
 // TestStalledWatches guards against a change that is never delivered: a watch stalls when the store drops its history,
 // and the other topics are listed at a later revision. The probe must find that this one topic is behind.
 func TestStalledWatches(t *testing.T) {
@@ -216,6 +218,69 @@
 	})
 }
 
+// removal returns a listing that removes a backend server.
+func removal(id string, revision uint64, o plan.Origin) plan.Listing {
+	return plan.Listing{Revision: revision, Origin: o, Changes: []plan.Change{{Name: id, Revision: revision, Resource: plan.Removed{}}}}
+}
+
+// TestLocalOutageHoldsNothing guards against requests to a backend server that has left, on hosts that lost the store alone, or that
+// heard of such a host's recovery.
+func TestLocalOutageHoldsNothing(t *testing.T) {
+	all := plan.Listing{Revision: 5, Changes: []plan.Change{backend("x", 3, false), backend("y", 4, false)}}
+	newLoaded := func() *State {
+		s := newState()
+		s.Replace(start, plan.TopicBackends, all)
+		return s
+	}
+	later := start.Add(10 * time.Second)
+	t.Run("a removal that a peer read", func(t *testing.T) {
+		s := newLoaded()
+		s.SetUnavailable(start)
+		s.Update(later, plan.TopicBackends, removal("x", 6, plan.Origin{Via: plan.ViaPull, Peer: "127.0.0.2"}))
+		assertUsable(t, s, 1)
+	})
+	t.Run("a removal after the outage of this host alone", func(t *testing.T) {
+		s := newLoaded()
+		s.SetUnavailable(start)
+		s.SetLocalOutage(true)
+		assert.Assert(t, s.SetAvailable(later))
+		assert.Assert(t, s.RecoveryAge(later) > time.Hour, "peers must not hear of a recovery")
+		s.Update(later, plan.TopicBackends, removal("x", 6, plan.Origin{Via: plan.ViaWatch}))
+		assertUsable(t, s, 1)
+	})
+	t.Run("what was held before ends in time", func(t *testing.T) {
+		s := newLoaded()
+		s.ReportRecovery(start, 0)
+		s.Update(start, plan.TopicBackends, removal("x", 6, plan.Origin{Via: plan.ViaWatch}))
+		assertUsable(t, s, 2)
+		s.SetUnavailable(start)
+		s.SetLocalOutage(true)
+		s.ExpireHeld(start.Add(holdAfterRecovery + time.Millisecond))
+		assertUsable(t, s, 1)
+	})
+}
+
+// TestHoldIsPassedOn guards against backend servers that are dropped after an outage of the store although they still run, on hosts that
+// learn of the removal of their entries from peers.
+func TestHoldIsPassedOn(t *testing.T) {
+	for _, have := range []uint64{0, 5} {
+		reader, peer := newState(), newState()
+		for _, s := range []*State{reader, peer} {
+			s.Replace(start, plan.TopicBackends, plan.Listing{Revision: 5, Changes: []plan.Change{backend("x", 3, false), backend("y", 4, false)}})
+		}
+		recovery := start.Add(4 * time.Second)
+		reader.SetUnavailable(start)
+		reader.Replace(recovery, plan.TopicBackends, plan.Listing{Revision: 9, Changes: []plan.Change{backend("y", 4, false)}})
+		snap, newer := reader.Snapshot(plan.TopicBackends, have)
+		assert.Assert(t, newer)
+		snap.Origin = plan.Origin{Via: plan.ViaPull, Peer: "127.0.0.2"}
+		peer.ApplySnapshot(recovery.Add(time.Second), snap)
+		assertUsable(t, peer, 2)
+		peer.ExpireHeld(recovery.Add(holdAfterRecovery + time.Millisecond))
+		assertUsable(t, peer, 1)
+	}
+}
+
 // TestLateSnapshot receives the response to a pull after newer changes have arrived in another way: what was removed meanwhile must
 // not come back.
 func TestLateSnapshot(t *testing.T) {
--- a/lib/pkg/plan/change.go
+++ b/lib/pkg/plan/change.go
@@ -33,7 +33,11 @@
 }
 
 // Removed marks a resource that was deleted from the store.
-type Removed struct{}
+type Removed struct {
+	// HoldUntil is until when a backend server stays in use without its entry, because the entry may only have expired during an
+	// outage of the store; zero means that it does not.
+	HoldUntil time.Time
+}
 
 // Unreadable stands for a resource that could not be decoded.
 type Unreadable struct{ Err error }
@@ -65,7 +69,7 @@
 	ViaPull  Via = "pull"
 )
 
-// Origin tells from where a listing came, for logs.
+// Origin tells from where a listing came.
 type Origin struct {
 	Via Via
 	// Peer is the address of the host that sent the listing; empty means the store.
@@ -74,6 +78,9 @@
 	Age time.Duration
 }
 
+// FromPeer reports whether another host sent the listing.
+func (o Origin) FromPeer() bool { return o.Via == ViaDelta || o.Via == ViaPull }
+
 // Listing is the result of a list or a watch: all resources of a topic, or only the changed ones, as of a revision.
 type Listing struct {
 	Revision uint64
