gossip: a slow pull no longer keeps a host from its other peers

Callers saw: requests reach backend servers seconds after the store accepted their leave, on hosts of a large fleet while many others change. Cause: deltas of more than 8 KB are not sent, and a delta that does not follow on what a host has is not used; then the host pulls. In a large fleet it made one pull at a time and waited up to 2 s for a peer that did not respond, while others had what it lacked. Class: one slow peer holds up what any other could give. Evidence: TestFleetReplacement (32 changes each 0.5 s, one pull in ten takes 2 s), 100 and 300 hosts: 5 of 12 runs with pairs of a host and a backend server in use more than 2.5 s after its leave, up to 3.1 s. Change: after 400 ms it also pulls from another peer, at most 3 at a time. After: 12 of 12 runs without a late pair.

--- a/edged/pkg/gossip/pull.go
+++ b/edged/pkg/gossip/pull.go
@@ -39,6 +39,10 @@
 	farPullDelaySpread = 500 * time.Millisecond
 	// pullInterval is the shortest time between two pulls of a host.
 	pullInterval = 100 * time.Millisecond
+	// pullHedgeDelay is how long a host waits for a pull before it also pulls from another peer, and maxOwnPulls how many pulls it
+	// makes at a time.
+	pullHedgeDelay = 400 * time.Millisecond
+	maxOwnPulls    = 3
 )
 
 // exchangedTopics returns the topics whose resources hosts pass on to each other.
@@ -79,6 +83,15 @@
 	farDelay    time.Duration
 }
 
+// mayStart reports whether a host of a large fleet may start a pull now. It does not wait for a peer that is slow to respond.
+func (p *pulls) mayStart(now time.Time) bool {
+	interval := pullInterval
+	if len(p.inProgress) > 0 {
+		interval = pullHedgeDelay
+	}
+	return len(p.inProgress) < maxOwnPulls && now.Sub(p.lastAt) >= interval
+}
+
 // notePeerRevisions stores that a peer has newer resources than this host, if so.
 func (m *Membership) notePeerRevisions(now time.Time, ip netip.Addr, revisions []uint64) {
 	if !m.isBehind(revisions) {
@@ -125,7 +138,7 @@
 	if !from.IsValid() || p.inProgress[from] {
 		return
 	}
-	if m.isLargeFleet() && (len(p.inProgress) > 0 || now.Sub(p.lastAt) < pullInterval) {
+	if m.isLargeFleet() && !p.mayStart(now) {
 		return
 	}
 	p.near, p.far, p.behindSince, p.lastAt = netip.Addr{}, netip.Addr{}, time.Time{}, now
