edged: a backend server that says in its responses that it leaves gets no more requests

Users saw: requests reached backend servers that had said that they leave. Cause: no host read it; that a backend server leaves was known from the store alone. A host that the store's word did not reach, or that held the entry, went on. Class: what a peer says of itself is ignored in favour of what others say of it. Change: header.Backpressure holds what a response asks of this host. The mark belongs to one incarnation and outlives its entry by 10 minutes, so that an old entry from a peer does not clear it. A 421 says nothing of the backend server that was meant.

--- a/edged/cmds/fleet_test.go
+++ b/edged/cmds/fleet_test.go
@@ -546,6 +546,32 @@
 	}
 }
 
+// TestLeavingWithoutStore guards against requests to a backend server that says in its responses that it leaves, while no host reaches
+// the store.
+func TestLeavingWithoutStore(t *testing.T) {
+	f := newFleet(t)
+	f.start(2)
+	assertServed(t, f.call(f.hosts[0], http.MethodGet, "/read/x", "", "first"), "")
+	var leaving *fake.BackendServer
+	for _, b := range f.backends {
+		if b.Runs("first") > 0 {
+			leaving = b
+		}
+	}
+	f.store.SetUnavailable(true)
+	leaving.SetExtraHeaders("Server-Leaving: 1\r\n")
+	for n, h := range f.hosts {
+		told := fmt.Sprintf("told-%d", n)
+		assertServed(t, f.call(h, http.MethodGet, "/read/x", "", told), "")
+		assert.Equal(t, leaving.Runs(told), 1, "the object's first choice")
+		for i := range 20 {
+			attempt := fmt.Sprintf("later-%d-%d", n, i)
+			assertServed(t, f.call(h, http.MethodGet, "/read/x", "", attempt), "")
+			assert.Equal(t, leaving.Runs(attempt), 0)
+		}
+	}
+}
+
 func TestStop(t *testing.T) {
 	f := newFleet(t)
 	f.start(3)
--- a/edged/pkg/meter/meter.go
+++ b/edged/pkg/meter/meter.go
@@ -25,32 +25,33 @@
 
 // Counters and gauges. docs/METRICS.md explains each, and a test compares the names.
 const (
-	Requests      Counter = "requests"
-	Served        Counter = "served"
-	Rejected      Counter = "rejected"
-	Failed        Counter = "failed"
-	CallerLeft    Counter = "callerLeft"
-	Queued        Counter = "queued"
-	Sends         Counter = "sends"
-	Repeats       Counter = "repeats"
-	NotRun        Counter = "notRun"
-	SendsLost     Counter = "sendsLost"
-	FarSends      Counter = "farSends"
-	WarmSends     Counter = "warmSends"
-	StoreCalls    Counter = "storeCalls"
-	Lookups       Counter = "lookups"
-	ConnsOpened   Counter = "connsOpened"
-	InFlight      Counter = "inFlight"
-	Waiting       Counter = "waiting"
-	LiveHosts     Counter = "liveHosts"
-	Backends      Counter = "backends"
-	ConfigVersion Counter = "configVersion"
+	Requests         Counter = "requests"
+	Served           Counter = "served"
+	Rejected         Counter = "rejected"
+	Failed           Counter = "failed"
+	CallerLeft       Counter = "callerLeft"
+	Queued           Counter = "queued"
+	Sends            Counter = "sends"
+	Repeats          Counter = "repeats"
+	NotRun           Counter = "notRun"
+	SendsLost        Counter = "sendsLost"
+	FarSends         Counter = "farSends"
+	WarmSends        Counter = "warmSends"
+	LeavingResponses Counter = "leavingResponses"
+	StoreCalls       Counter = "storeCalls"
+	Lookups          Counter = "lookups"
+	ConnsOpened      Counter = "connsOpened"
+	InFlight         Counter = "inFlight"
+	Waiting          Counter = "waiting"
+	LiveHosts        Counter = "liveHosts"
+	Backends         Counter = "backends"
+	ConfigVersion    Counter = "configVersion"
 )
 
 // Counters returns the names of all counters and gauges in the order of output.
 func Counters() []Counter {
 	return []Counter{
-		Requests, Served, Rejected, Failed, CallerLeft, Queued, Sends, Repeats, NotRun, SendsLost, FarSends, WarmSends,
+		Requests, Served, Rejected, Failed, CallerLeft, Queued, Sends, Repeats, NotRun, SendsLost, FarSends, WarmSends, LeavingResponses,
 		StoreCalls, Lookups, ConnsOpened, InFlight, Waiting, LiveHosts, Backends, ConfigVersion,
 	}
 }
--- a/edged/pkg/pick/candidate.go
+++ b/edged/pkg/pick/candidate.go
@@ -169,7 +169,7 @@
 // eligible reports whether a backend server may get a request now.
 func (t *Table) eligible(now time.Time, s *server, q *Query) bool {
 	b := s.backend
-	if !allowed(b, q) || now.Before(s.ejectedUntil) {
+	if !allowed(b, q) || now.Before(s.ejectedUntil) || !s.backpressure.allows(now) {
 		return false
 	}
 	return !b.InSlowStart(now) || (!now.Before(s.nextSlowStartSend) && t.fleet.IsElectedFor(b))
@@ -183,7 +183,7 @@
 // is elected.
 func (t *Table) hasSlowStartBackend(now time.Time, v *plan.View, q *Query) bool {
 	return slices.ContainsFunc(v.Usable(q.Service), func(b *plan.Backend) bool {
-		return allowed(b, q) && b.InSlowStart(now) && t.fleet.IsElectedFor(b)
+		return allowed(b, q) && b.InSlowStart(now) && t.server(b).backpressure.allows(now) && t.fleet.IsElectedFor(b)
 	})
 }
 
--- a/edged/pkg/pick/pick.go
+++ b/edged/pkg/pick/pick.go
@@ -379,9 +379,11 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for key, s := range t.servers {
-		if s.inFlight == 0 && !v.HasKey(key) {
+		if s.inFlight == 0 && !v.HasKey(key) && !s.backpressure.mustRemember(now) {
 			delete(t.servers, key)
-			delete(t.serversByID, ShortID(s.backend))
+			if id := ShortID(s.backend); t.serversByID[id] == s {
+				delete(t.serversByID, id)
+			}
 			continue
 		}
 		s.trimWarmObjects()
--- a/edged/pkg/pick/server.go
+++ b/edged/pkg/pick/server.go
@@ -76,6 +76,7 @@
 	loadAt          time.Time
 	latencyFactor   float64
 	latencyFactorAt time.Time
+	backpressure    backpressure
 }
 
 func newServer(b *plan.Backend) *server {
--- a/edged/pkg/proxy/proxy.go
+++ b/edged/pkg/proxy/proxy.go
@@ -317,6 +317,7 @@
 		return p.handleSendError(ctx, x, b, took, err)
 	}
 	head := p.codec.DecodeResponse(resp.Head().Status, resp.Head().Header)
+	p.receiveBackpressure(x, b, head.Backpressure)
 	switch {
 	case head.NotRun:
 		resp.Close(false)
@@ -343,6 +344,16 @@
 	return resp, nil, false
 }
 
+// receiveBackpressure passes what a backend server asked for in a response to the table.
+func (p *Handler) receiveBackpressure(x *exchange, b *plan.Backend, received header.Backpressure) {
+	if received.Leaving {
+		p.meter.Add(meter.LeavingResponses, 1)
+	}
+	if p.table.ReceiveBackpressure(time.Now(), b, received) {
+		p.log.Info("backend server says that it leaves; it gets no more requests", "event", "leaving", "backend", b.ID(), "service", b.Service(), "id", x.req.ID)
+	}
+}
+
 // outcomeOf returns the outcome of a 5xx response. A 504 only means that the request's time ran out.
 func outcomeOf(status int) pick.Outcome {
 	if status == http.StatusGatewayTimeout {
--- a/lib/pkg/header/header.go
+++ b/lib/pkg/header/header.go
@@ -27,6 +27,12 @@
 	Reported bool
 }
 
+// Backpressure is what a backend server asks of the hosts that send to it, as of one response.
+type Backpressure struct {
+	// Leaving is true where the backend server is about to shut down and wants no more requests.
+	Leaving bool
+}
+
 // Response holds the decoded headers of a backend server's response.
 type Response struct {
 	// AttemptID is the ID of the attempt that the response belongs to.
@@ -38,6 +44,7 @@
 	// SlowStartRemaining is how much longer the backend server is in slow start.
 	SlowStartRemaining time.Duration
 	Load               Load
+	Backpressure       Backpressure
 }
 
 // Codec decodes and encodes headers.
