edged: all hosts together keep to the limit that a backend server names

Users saw: a backend server got far more requests than the limit that it had named (LIMIT). Cause: the header Server-Limit was not read. Class: as with leaving, what a peer says of itself is ignored. Change: each host that is told has an equal share of the limit, as a token bucket. A limit ends with the response to a request that was sent after it was last named.

--- a/edged/pkg/gossip/gossip_test.go
+++ b/edged/pkg/gossip/gossip_test.go
@@ -24,6 +24,8 @@
 
 func (noFleet) IsElectedFor(*plan.Backend) bool { return false }
 
+func (noFleet) Hosts() int { return 1 }
+
 func (noFleet) Demand() map[string]float64 { return nil }
 
 // newTestMembership returns the Membership of host i: even hosts are in region north, odd ones in south.
--- a/edged/pkg/meter/meter.go
+++ b/edged/pkg/meter/meter.go
@@ -38,6 +38,7 @@
 	FarSends         Counter = "farSends"
 	WarmSends        Counter = "warmSends"
 	LeavingResponses Counter = "leavingResponses"
+	LimitedResponses Counter = "limitedResponses"
 	StoreCalls       Counter = "storeCalls"
 	Lookups          Counter = "lookups"
 	ConnsOpened      Counter = "connsOpened"
@@ -51,7 +52,7 @@
 // Counters returns the names of all counters and gauges in the order of output.
 func Counters() []Counter {
 	return []Counter{
-		Requests, Served, Rejected, Failed, CallerLeft, Queued, Sends, Repeats, NotRun, SendsLost, FarSends, WarmSends, LeavingResponses,
+		Requests, Served, Rejected, Failed, CallerLeft, Queued, Sends, Repeats, NotRun, SendsLost, FarSends, WarmSends, LeavingResponses, LimitedResponses,
 		StoreCalls, Lookups, ConnsOpened, InFlight, Waiting, LiveHosts, Backends, ConfigVersion,
 	}
 }
--- a/edged/pkg/pick/backpressure.go
+++ b/edged/pkg/pick/backpressure.go
@@ -16,24 +16,53 @@
 type backpressure struct {
 	// leavingSince is when the backend server first said that it leaves; zero means that it did not.
 	leavingSince time.Time
+	limit        rateLimit
 }
 
 // allows reports whether the backend server accepts a request of this host now.
-func (p *backpressure) allows(time.Time) bool { return p.leavingSince.IsZero() }
+func (p *backpressure) allows(now time.Time, d division) bool {
+	wait, ends := p.wait(now, d)
+	return ends && wait == 0
+}
+
+// wait returns how long the backend server accepts no request of this host, and reports whether it ever will again.
+func (p *backpressure) wait(now time.Time, d division) (time.Duration, bool) {
+	if !p.leavingSince.IsZero() {
+		return 0, false
+	}
+	return p.limit.wait(now, d), true
+}
+
+// recordSend counts a request that is sent to the backend server.
+func (p *backpressure) recordSend(now time.Time, d division) { p.limit.recordSend(now, d) }
 
 // mustRemember reports whether the backpressure is still needed after the backend server's entry is gone.
 func (p *backpressure) mustRemember(now time.Time) bool {
 	return !p.leavingSince.IsZero() && now.Sub(p.leavingSince) < leavingRetention
 }
 
-// ReceiveBackpressure records what a backend server asked for in a response, and reports whether it says for the first time that it leaves.
-func (t *Table) ReceiveBackpressure(now time.Time, b *plan.Backend, received header.Backpressure) bool {
+// BackpressureChange tells what a response changed.
+type BackpressureChange struct {
+	// Leaves is true where the backend server says for the first time that it leaves.
+	Leaves bool
+	// LimitBegins and LimitEnds are true where the backend server names a rate limit for the first time, and no longer.
+	LimitBegins, LimitEnds bool
+}
+
+// ReceiveBackpressure records what a backend server asked for in the response to a request that was sent to it at sentAt.
+func (t *Table) ReceiveBackpressure(now, sentAt time.Time, b *plan.Backend, received header.Backpressure) BackpressureChange {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	p := &t.server(b).backpressure
-	if !received.Leaving || !p.leavingSince.IsZero() {
-		return false
+	var change BackpressureChange
+	if received.Leaving && p.leavingSince.IsZero() {
+		p.leavingSince, change.Leaves = now, true
 	}
-	p.leavingSince = now
-	return true
+	limited := p.limit.active
+	p.limit.receive(now, sentAt, received, t.division())
+	change.LimitBegins, change.LimitEnds = !limited && p.limit.active, limited && !p.limit.active
+	return change
 }
+
+// division returns how limits of all hosts together are divided between them.
+func (t *Table) division() division { return division{hosts: t.fleet.Hosts(), random: t.random} }
--- a/edged/pkg/pick/backpressure_test.go
+++ b/edged/pkg/pick/backpressure_test.go
@@ -1,6 +1,9 @@
 package pick
 
 import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -41,14 +44,14 @@
 	table, v := New(DefaultRules(), testFleet{}), incarnation(1)
 	assert.Assert(t, sendAll(table, start, v, objects)["b0/1"] > 0)
 	old := v.Backend("b0")
-	assert.Assert(t, table.ReceiveBackpressure(start, old, header.Backpressure{Leaving: true}))
+	assert.Assert(t, table.ReceiveBackpressure(start, start, old, header.Backpressure{Leaving: true}).Leaves)
 	t.Run("it gets no more requests", func(t *testing.T) {
 		sent := sendAll(table, start, v, objects)
 		assert.Equal(t, sent["b0/1"], 0)
 		assert.Equal(t, sent["b1/0"], objects)
 	})
 	t.Run("a later response without the word changes nothing", func(t *testing.T) {
-		assert.Assert(t, !table.ReceiveBackpressure(start, old, header.Backpressure{}))
+		assert.Assert(t, !table.ReceiveBackpressure(start, start, old, header.Backpressure{}).Leaves)
 		assert.Equal(t, sendAll(table, start, v, objects)["b0/1"], 0)
 	})
 	t.Run("queued requests do not reach it", func(t *testing.T) {
@@ -64,7 +67,184 @@
 	t.Run("a new incarnation under the same ID gets requests", func(t *testing.T) {
 		next := incarnation(2)
 		assert.Assert(t, sendAll(table, start, next, objects)["b0/2"] > 0)
-		table.ReceiveBackpressure(start, old, header.Backpressure{Leaving: true})
+		table.ReceiveBackpressure(start, start, old, header.Backpressure{Leaving: true})
 		assert.Assert(t, sendAll(table, start, next, objects)["b0/2"] > 0)
 	})
 }
+
+// seeds is how many seeds TestLimitOfAllHosts plays.
+var seeds = flag.Int("seeds", 3, "number of seeds")
+
+// limitFleet are hosts that send to one backend server with a limit, and to another one without.
+type limitFleet struct {
+	random *rand.Rand
+	view   *plan.View
+	tables []*Table
+	told   []bool
+	sends  []time.Time
+	// limit is what the backend server names; nil means that it names none.
+	limit *float64
+	// pending are the responses on their way.
+	pending []limitResponse
+	served  int
+}
+
+type limitResponse struct {
+	host       int
+	at, sentAt time.Time
+	backend    *plan.Backend
+	query      Query
+	asks       header.Backpressure
+}
+
+func newLimitFleet(seed uint64, hosts int) *limitFleet {
+	f := &limitFleet{random: rand.New(rand.NewPCG(seed, uint64(hosts))), told: make([]bool, hosts), view: view(2, func(s *plan.BackendSpec) {
+		s.Slots = 100_000
+		s.DataCentre = "n"
+	})}
+	for i := range hosts {
+		table := New(DefaultRules(), testFleet{hosts: hosts})
+		table.random = rand.New(rand.NewPCG(seed, uint64(i)))
+		f.tables = append(f.tables, table)
+	}
+	return f
+}
+
+// run plays a time in steps of 10 ms, with perSecond requests a second of all hosts, each at a host chosen by pickHost.
+func (f *limitFleet) run(from time.Time, d time.Duration, perSecond float64, pickHost func() int) {
+	const step = 10 * time.Millisecond
+	debt := 0.0
+	for now := from; now.Before(from.Add(d)); now = now.Add(step) {
+		f.receive(now)
+		for debt += perSecond * step.Seconds(); debt >= 1; debt-- {
+			f.request(now, pickHost())
+		}
+	}
+}
+
+func (f *limitFleet) request(now time.Time, host int) {
+	q := query(f.random.Uint64())
+	q.Sticky, q.Objective, q.Deadline = false, now.Add(time.Second), now.Add(3*time.Second)
+	c, ok := f.tables[host].Choose(now, f.view, q).(Chosen)
+	if !ok {
+		return
+	}
+	f.served++
+	r := limitResponse{host: host, at: now.Add(100 * time.Millisecond), sentAt: now, backend: c.Backend, query: q}
+	if c.Backend.ID() == "b0" {
+		if f.told[host] {
+			f.sends = append(f.sends, now)
+		}
+		if f.limit != nil {
+			r.asks = header.Backpressure{RequestsPerSecond: *f.limit, Limited: true}
+		}
+	}
+	f.pending = append(f.pending, r)
+}
+
+// receive gives the hosts the responses that have arrived. A host whose response names the limit counts as told half a second later in
+// the users' rule; here it counts at once.
+func (f *limitFleet) receive(now time.Time) {
+	n := 0
+	for _, r := range f.pending {
+		if r.at.After(now) {
+			f.pending[n] = r
+			n++
+			continue
+		}
+		f.tables[r.host].ReceiveBackpressure(now, r.sentAt, r.backend, r.asks)
+		f.tables[r.host].Done(now, r.backend, &r.query, now.Sub(r.sentAt), Answered, Load{})
+		f.told[r.host] = f.told[r.host] || r.asks.Limited
+	}
+	f.pending = f.pending[:n]
+}
+
+// most returns the highest number of sends of told hosts in a window.
+func (f *limitFleet) most(window time.Duration) int {
+	most, first := 0, 0
+	for i, at := range f.sends {
+		for at.Sub(f.sends[first]) >= window {
+			first++
+		}
+		most = max(most, i-first+1)
+	}
+	return most
+}
+
+// TestLimitOfAllHosts guards against a backend server that gets more requests of all hosts together than the limit that it names. The
+// load is uneven over the hosts, moves between them and comes in bursts.
+func TestLimitOfAllHosts(t *testing.T) {
+	const window = 4 * time.Second
+	for _, hosts := range []int{1, 11, 40, 300} {
+		for _, limit := range []float64{1.5, 4, 16, 60} {
+			t.Run(fmt.Sprintf("%d hosts, %v a second", hosts, limit), func(t *testing.T) {
+				t.Parallel()
+				for seed := range uint64(*seeds) {
+					f := newLimitFleet(seed, hosts)
+					f.limit = &limit
+					moving := 0
+					one := func() int { return moving }
+					few := func() int { return (moving + f.random.IntN(1+hosts/4)) % hosts }
+					all := func() int { return f.random.IntN(hosts) }
+					now := start
+					demand := 4 * limit
+					for i, pickHost := range []func() int{all, few, one, all, few, one, all} {
+						moving = f.random.IntN(hosts)
+						rate := demand
+						if i == 3 {
+							rate = 5 * demand
+						}
+						f.run(now, 6*time.Second, rate, pickHost)
+						now = now.Add(6 * time.Second)
+					}
+					allowed := int(1.5*limit*window.Seconds()) + 5
+					assert.Assert(t, f.most(window) <= allowed, "seed %d: %d requests of told hosts in %s, allowed %d", seed, f.most(window), window, allowed)
+				}
+			})
+		}
+	}
+}
+
+// TestLimitIsUsed sends more than a limit allows, evenly over the hosts: the backend server must get most of what it takes, and all
+// that it did before once it names no limit any more.
+func TestLimitIsUsed(t *testing.T) {
+	const limit, seconds = 16.0, 20
+	f, named := newLimitFleet(1, 12), limit
+	f.limit = &named
+	all := func() int { return f.random.IntN(12) }
+	f.run(start, 2*time.Second, 8*limit, all)
+	f.sends = nil
+	f.run(start.Add(2*time.Second), seconds*time.Second, 8*limit, all)
+	assert.Assert(t, len(f.sends) >= 0.7*limit*seconds, "%d requests in %d s", len(f.sends), seconds)
+	f.limit = nil
+	f.run(start.Add((2+seconds)*time.Second), 4*time.Second, 8*limit, all)
+	f.sends = nil
+	f.run(start.Add((6+seconds)*time.Second), 4*time.Second, 8*limit, all)
+	assert.Assert(t, len(f.sends) >= 2*limit*4, "%d requests in 4 s without a limit", len(f.sends))
+}
+
+// TestLimitEnds guards against a limit that a late response to an earlier request ends, or that no response ends.
+func TestLimitEnds(t *testing.T) {
+	limited := header.Backpressure{RequestsPerSecond: 1, Limited: true}
+	b := view(1, nil).Backend("b0")
+	at := func(seconds float64) time.Time { return start.Add(time.Duration(seconds * float64(time.Second))) }
+	table := New(DefaultRules(), testFleet{hosts: 11})
+	assert.Assert(t, table.ReceiveBackpressure(at(1), at(0.5), b, limited).LimitBegins)
+	assert.Assert(t, !table.ReceiveBackpressure(at(2), at(0.9), b, header.Backpressure{}).LimitEnds, "sent before the limit was named")
+	assert.Assert(t, !table.ReceiveBackpressure(at(3), at(2.5), b, limited).LimitBegins)
+	assert.Assert(t, table.ReceiveBackpressure(at(5), at(4), b, header.Backpressure{}).LimitEnds)
+}
+
+// TestLimitRejects guards against requests that wait for a share of a limit until their deadline has passed.
+func TestLimitRejects(t *testing.T) {
+	v := view(1, nil)
+	b := v.Backend("b0")
+	table := New(DefaultRules(), testFleet{hosts: 300})
+	table.ReceiveBackpressure(start, start, b, header.Backpressure{RequestsPerSecond: 1, Limited: true})
+	for object := range uint64(5) {
+		table.Choose(start, v, query(object))
+	}
+	r, rejected := table.Choose(start, v, query(9)).(Rejected)
+	assert.Assert(t, rejected)
+	assert.Equal(t, r.RetryAfter, maxRetryAfter)
+}
--- a/edged/pkg/pick/candidate.go
+++ b/edged/pkg/pick/candidate.go
@@ -169,7 +169,7 @@
 // eligible reports whether a backend server may get a request now.
 func (t *Table) eligible(now time.Time, s *server, q *Query) bool {
 	b := s.backend
-	if !allowed(b, q) || now.Before(s.ejectedUntil) || !s.backpressure.allows(now) {
+	if !allowed(b, q) || now.Before(s.ejectedUntil) || !s.backpressure.allows(now, t.division()) {
 		return false
 	}
 	return !b.InSlowStart(now) || (!now.Before(s.nextSlowStartSend) && t.fleet.IsElectedFor(b))
@@ -179,12 +179,22 @@
 	return q.Allows(b.Region()) && !slices.Contains(q.Tried, b.Key())
 }
 
-// hasSlowStartBackend reports whether the request may be sent later to a backend server in slow start for which this host
-// is elected.
-func (t *Table) hasSlowStartBackend(now time.Time, v *plan.View, q *Query) bool {
-	return slices.ContainsFunc(v.Usable(q.Service), func(b *plan.Backend) bool {
-		return allowed(b, q) && b.InSlowStart(now) && t.server(b).backpressure.allows(now) && t.fleet.IsElectedFor(b)
-	})
+// untilEligible returns how long it takes at least until the request may be sent to a backend server that it may not be sent to now, and
+// reports whether there is one that leaves enough time: one in slow start for which this host is elected, or one whose backpressure ends.
+// If there is none, the time is that of the earliest backend server, or 0.
+func (t *Table) untilEligible(now time.Time, v *plan.View, q *Query) (time.Duration, bool) {
+	earliest, found := time.Duration(0), false
+	for _, b := range v.Usable(q.Service) {
+		s := t.server(b)
+		wait, ends := s.backpressure.wait(now, t.division())
+		if !ends || !allowed(b, q) || (wait == 0 && !b.InSlowStart(now)) || (b.InSlowStart(now) && !t.fleet.IsElectedFor(b)) {
+			continue
+		}
+		if !found || wait < earliest {
+			earliest, found = wait, true
+		}
+	}
+	return earliest, found && now.Add(earliest).Before(q.Deadline)
 }
 
 // unitInterval maps a hash to [0, 1).
--- a/edged/pkg/pick/pick.go
+++ b/edged/pkg/pick/pick.go
@@ -6,6 +6,7 @@
 package pick
 
 import (
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -121,12 +122,15 @@
 	IsElectedFor(b *plan.Backend) bool
 	// Demand returns each region's share of all requests, 0 to 1.
 	Demand() map[string]float64
+	// Hosts returns the number of hosts of the system, this one included, between which limits of all hosts together are divided.
+	Hosts() int
 }
 
 // Table counts the requests at each backend server and holds the queues. It is safe for concurrent use.
 type Table struct {
-	rules Rules
-	fleet Fleet
+	rules  Rules
+	fleet  Fleet
+	random *rand.Rand
 
 	mu          sync.Mutex
 	servers     map[string]*server
@@ -168,7 +172,7 @@
 func New(rules Rules, fleet Fleet) *Table {
 	return &Table{
 		rules: rules, fleet: fleet, servers: map[string]*server{}, serversByID: map[uint32]*server{}, services: map[string]*service{}, peers: map[string]peerReports{},
-		peerInFlight: map[uint32]int{},
+		peerInFlight: map[uint32]int{}, random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
 }
 
@@ -266,8 +270,12 @@
 	}
 	svc := t.service(q.Service)
 	c, ok := t.bestCandidate(now, v, svc, &q)
-	if !ok && !t.hasSlowStartBackend(now, v, &q) {
-		return Rejected{RetryAfter: ejectionTime, Explanation: t.explain(now, svc, c)}
+	if !ok {
+		wait, later := t.untilEligible(now, v, &q)
+		if !later {
+			return Rejected{RetryAfter: min(maxRetryAfter, max(wait, ejectionTime)), Explanation: t.explain(now, svc, c)}
+		}
+		c.wait = wait
 	}
 	if ok && c.immediate {
 		explanation := t.explain(now, svc, c)
@@ -310,6 +318,7 @@
 // start counts a request as sent to a backend server.
 func (t *Table) start(now time.Time, v *plan.View, svc *service, s *server, q *Query) {
 	s.begin(now, q)
+	s.backpressure.recordSend(now, t.division())
 	svc.recordSend(now)
 	if s.backend.InSlowStart(now) {
 		s.nextSlowStartSend = now.Add(slowStartInterval(v, s.backend))
@@ -364,7 +373,11 @@
 			ticket.result <- Chosen{Backend: c.server.backend, Explanation: explanation}
 			continue
 		}
-		if remaining := ticket.query.Deadline.Sub(now); remaining < svc.minWorkTime() || (!ok && !t.hasSlowStartBackend(now, v, &ticket.query)) {
+		later := ok
+		if !ok {
+			c.wait, later = t.untilEligible(now, v, &ticket.query)
+		}
+		if ticket.query.Deadline.Sub(now) < c.wait+svc.minWorkTime() || !later {
 			ticket.result <- Rejected{RetryAfter: svc.queueWait(now, len(svc.queue)), Explanation: t.explain(now, svc, c)}
 			continue
 		}
--- a/edged/pkg/pick/pick_test.go
+++ b/edged/pkg/pick/pick_test.go
@@ -12,10 +12,15 @@
 
 var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 
-type testFleet struct{ elected bool }
+type testFleet struct {
+	elected bool
+	hosts   int
+}
 
 func (f testFleet) IsElectedFor(*plan.Backend) bool { return f.elected }
 
+func (f testFleet) Hosts() int { return max(1, f.hosts) }
+
 func (testFleet) Demand() map[string]float64 { return map[string]float64{"north": 0.5, "south": 0.5} }
 
 // view returns n backend servers with two slots each, alternating between two regions.
--- a/edged/pkg/pick/queue.go
+++ b/edged/pkg/pick/queue.go
@@ -43,11 +43,12 @@
 
 // overloaded reports whether a request would wait for too long, and if so, after which delay the caller may retry.
 func (s *service) overloaded(now time.Time, q *Query, c candidate, ok bool, lateShare float64) (time.Duration, bool) {
-	wait := s.queueWait(now, s.ahead(q))
-	finish := now.Add(wait + s.warmTime.value(defaultWarmTime))
-	if ok {
-		finish = now.Add(max(wait, c.wait) + c.work)
+	wait, work := s.queueWait(now, s.ahead(q)), c.work
+	if !ok {
+		// No backend server is eligible yet: c has only the time until one is.
+		wait, work = max(wait, c.wait), s.warmTime.value(defaultWarmTime)
 	}
+	finish := now.Add(max(wait, c.wait) + work)
 	if finish.Before(q.Objective) {
 		return 0, false
 	}
--- a/edged/pkg/proxy/proxy.go
+++ b/edged/pkg/proxy/proxy.go
@@ -317,7 +317,7 @@
 		return p.handleSendError(ctx, x, b, took, err)
 	}
 	head := p.codec.DecodeResponse(resp.Head().Status, resp.Head().Header)
-	p.receiveBackpressure(x, b, head.Backpressure)
+	p.receiveBackpressure(now, x, b, head.Backpressure)
 	switch {
 	case head.NotRun:
 		resp.Close(false)
@@ -344,13 +344,24 @@
 	return resp, nil, false
 }
 
-// receiveBackpressure passes what a backend server asked for in a response to the table.
-func (p *Handler) receiveBackpressure(x *exchange, b *plan.Backend, received header.Backpressure) {
+// receiveBackpressure passes to the table what a backend server asked for in the response to a request that was sent at sentAt.
+func (p *Handler) receiveBackpressure(sentAt time.Time, x *exchange, b *plan.Backend, received header.Backpressure) {
 	if received.Leaving {
 		p.meter.Add(meter.LeavingResponses, 1)
 	}
-	if p.table.ReceiveBackpressure(time.Now(), b, received) {
-		p.log.Info("backend server says that it leaves; it gets no more requests", "event", "leaving", "backend", b.ID(), "service", b.Service(), "id", x.req.ID)
+	if received.Limited {
+		p.meter.Add(meter.LimitedResponses, 1)
+	}
+	attrs := []any{"backend", b.ID(), "service", b.Service(), "id", x.req.ID}
+	change := p.table.ReceiveBackpressure(time.Now(), sentAt, b, received)
+	if change.Leaves {
+		p.log.Info("backend server says that it leaves; it gets no more requests", append(attrs, "event", "leaving")...)
+	}
+	if change.LimitBegins {
+		p.log.Info("backend server limits the rate of requests", append(attrs, "event", "limited", "perSecond", received.RequestsPerSecond, "hosts", p.env.Hosts())...)
+	}
+	if change.LimitEnds {
+		p.log.Info("backend server no longer limits the rate of requests", append(attrs, "event", "unlimited")...)
 	}
 }
 
--- a/lib/pkg/header/header.go
+++ b/lib/pkg/header/header.go
@@ -31,6 +31,9 @@
 type Backpressure struct {
 	// Leaving is true where the backend server is about to shut down and wants no more requests.
 	Leaving bool
+	// RequestsPerSecond is the highest rate of requests that it accepts from all hosts together. It counts where Limited is set.
+	RequestsPerSecond float64
+	Limited           bool
 }
 
 // Response holds the decoded headers of a backend server's response.
--- a/simul/pkg/engine/engine.go
+++ b/simul/pkg/engine/engine.go
@@ -130,6 +130,9 @@
 // IsElectedFor implements pick.Fleet.
 func (sim *Simulation) IsElectedFor(*plan.Backend) bool { return true }
 
+// Hosts implements pick.Fleet.
+func (sim *Simulation) Hosts() int { return len(sim.hosts) }
+
 // Demand implements pick.Fleet.
 func (sim *Simulation) Demand() map[string]float64 { return sim.demand }
 
