edged: a backend server that rejects a request with Retry-After gets none for so long

Cause: the header was passed on to callers and not read. Evidence: TestPause, red without the assignment. A request that can wait for the end of the pause is queued, any other is rejected at once.

--- a/edged/pkg/meter/meter.go
+++ b/edged/pkg/meter/meter.go
@@ -39,6 +39,7 @@
 	WarmSends        Counter = "warmSends"
 	LeavingResponses Counter = "leavingResponses"
 	LimitedResponses Counter = "limitedResponses"
+	PauseResponses   Counter = "pauseResponses"
 	StoreCalls       Counter = "storeCalls"
 	Lookups          Counter = "lookups"
 	ConnsOpened      Counter = "connsOpened"
@@ -52,7 +53,7 @@
 // Counters returns the names of all counters and gauges in the order of output.
 func Counters() []Counter {
 	return []Counter{
-		Requests, Served, Rejected, Failed, CallerLeft, Queued, Sends, Repeats, NotRun, SendsLost, FarSends, WarmSends, LeavingResponses, LimitedResponses,
+		Requests, Served, Rejected, Failed, CallerLeft, Queued, Sends, Repeats, NotRun, SendsLost, FarSends, WarmSends, LeavingResponses, LimitedResponses, PauseResponses,
 		StoreCalls, Lookups, ConnsOpened, InFlight, Waiting, LiveHosts, Backends, ConfigVersion,
 	}
 }
--- a/edged/pkg/pick/backpressure.go
+++ b/edged/pkg/pick/backpressure.go
@@ -17,6 +17,8 @@
 	// leavingSince is when the backend server first said that it leaves; zero means that it did not.
 	leavingSince time.Time
 	limit        rateLimit
+	// pausedUntil is until when the backend server wants no request of this host.
+	pausedUntil time.Time
 }
 
 // allows reports whether the backend server accepts a request of this host now.
@@ -30,7 +32,7 @@
 	if !p.leavingSince.IsZero() {
 		return 0, false
 	}
-	return p.limit.wait(now, d), true
+	return max(0, p.limit.wait(now, d), p.pausedUntil.Sub(now)), true
 }
 
 // recordSend counts a request that is sent to the backend server.
@@ -47,6 +49,8 @@
 	Leaves bool
 	// LimitBegins and LimitEnds are true where the backend server names a rate limit for the first time, and no longer.
 	LimitBegins, LimitEnds bool
+	// Pauses is true where the backend server asks for a pause and did not do so before.
+	Pauses bool
 }
 
 // ReceiveBackpressure records what a backend server asked for in the response to a request that was sent to it at sentAt.
@@ -61,6 +65,10 @@
 	limited := p.limit.active
 	p.limit.receive(now, sentAt, received, t.division())
 	change.LimitBegins, change.LimitEnds = !limited && p.limit.active, limited && !p.limit.active
+	if until := now.Add(received.Pause); received.Pause > 0 && until.After(p.pausedUntil) {
+		change.Pauses = !p.pausedUntil.After(now)
+		p.pausedUntil = until
+	}
 	return change
 }
 
--- a/edged/pkg/pick/backpressure_test.go
+++ b/edged/pkg/pick/backpressure_test.go
@@ -248,3 +248,46 @@
 	assert.Assert(t, rejected)
 	assert.Equal(t, r.RetryAfter, maxRetryAfter)
 }
+
+// TestPause guards against requests to a backend server that asked this host in a rejection to send nothing for some time.
+func TestPause(t *testing.T) {
+	at := func(seconds float64) time.Time { return start.Add(time.Duration(seconds * float64(time.Second))) }
+	pause := func(seconds float64) header.Backpressure {
+		return header.Backpressure{Pause: time.Duration(seconds * float64(time.Second))}
+	}
+	v := view(2, nil)
+	b := v.Backend("b0")
+	t.Run("it gets none until the time has passed", func(t *testing.T) {
+		table := New(DefaultRules(), testFleet{})
+		assert.Assert(t, table.ReceiveBackpressure(at(0), start, b, pause(3)).Pauses)
+		assert.Assert(t, !table.ReceiveBackpressure(at(1), start, b, pause(1)).Pauses, "a shorter one does not end it")
+		table.ReceiveBackpressure(at(1), start, b, header.Backpressure{})
+		for _, seconds := range []float64{0, 1, 2, 2.9} {
+			assert.Equal(t, sendAll(table, at(seconds), v, 40)[b.Key()], 0)
+		}
+		assert.Assert(t, sendAll(table, at(3), v, 40)[b.Key()] > 0)
+	})
+	t.Run("another incarnation is not paused", func(t *testing.T) {
+		table := New(DefaultRules(), testFleet{})
+		table.ReceiveBackpressure(at(0), start, b, pause(3))
+		next := view(2, func(s *plan.BackendSpec) { s.Incarnation = 2 })
+		assert.Assert(t, sendAll(table, at(0), next, 40)["b0/2"] > 0)
+	})
+	t.Run("a request waits for the end of a short pause", func(t *testing.T) {
+		table, only := New(DefaultRules(), testFleet{}), view(1, nil)
+		table.ReceiveBackpressure(at(0), start, only.Backend("b0"), pause(0.3))
+		queued, ok := table.Choose(at(0), only, query(1)).(Queued)
+		assert.Assert(t, ok)
+		table.Dispatch(at(0.2), only, "alpha")
+		assert.Equal(t, len(queued.Ticket.Result()), 0)
+		table.Dispatch(at(0.3), only, "alpha")
+		chosen(t, <-queued.Ticket.Result())
+	})
+	t.Run("a request whose deadline comes first is rejected at once", func(t *testing.T) {
+		table, only := New(DefaultRules(), testFleet{}), view(1, nil)
+		table.ReceiveBackpressure(at(0), start, only.Backend("b0"), pause(60))
+		r, ok := table.Choose(at(0), only, query(1)).(Rejected)
+		assert.Assert(t, ok)
+		assert.Equal(t, r.RetryAfter, maxRetryAfter)
+	})
+}
--- a/edged/pkg/proxy/proxy.go
+++ b/edged/pkg/proxy/proxy.go
@@ -352,11 +352,17 @@
 	if received.Limited {
 		p.meter.Add(meter.LimitedResponses, 1)
 	}
+	if received.Pause > 0 {
+		p.meter.Add(meter.PauseResponses, 1)
+	}
 	attrs := []any{"backend", b.ID(), "service", b.Service(), "id", x.req.ID}
 	change := p.table.ReceiveBackpressure(time.Now(), sentAt, b, received)
 	if change.Leaves {
 		p.log.Info("backend server says that it leaves; it gets no more requests", append(attrs, "event", "leaving")...)
 	}
+	if change.Pauses {
+		p.log.Info("backend server asks for a pause", append(attrs, "event", "paused", "forMillis", received.Pause.Milliseconds())...)
+	}
 	if change.LimitBegins {
 		p.log.Info("backend server limits the rate of requests", append(attrs, "event", "limited", "perSecond", received.RequestsPerSecond, "hosts", p.env.Hosts())...)
 	}
--- a/lib/pkg/header/header.go
+++ b/lib/pkg/header/header.go
@@ -34,6 +34,8 @@
 	// RequestsPerSecond is the highest rate of requests that it accepts from all hosts together. It counts where Limited is set.
 	RequestsPerSecond float64
 	Limited           bool
+	// Pause is for how long it wants no request of the host that gets the response.
+	Pause time.Duration
 }
 
 // Response holds the decoded headers of a backend server's response.
