edged: a stopping host rejects what it can't finish before the end of the grace time

Cause: until the end a stopping host treated requests as at any other time: those that came after callers' look-ups had expired, those of connections that were open without a request, and those in its queue. Class: work is accepted without a check that it can end before a deadline that is known. Evidence: TestLateInGrace before: requests sent 2.6 and 2.8 s after SIGTERM ran and got no answer (unexpected EOF). Change: requests that arrive 2.5 s after SIGTERM or later are rejected as not run; so are those whose service time twice over does not fit before the end, and those in the queue one second before it.

--- a/edged/cmds/fleet_test.go
+++ b/edged/cmds/fleet_test.go
@@ -13,6 +13,7 @@
 	"path/filepath"
 	"slices"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -594,3 +595,76 @@
 	t.Run("the request in flight is answered", func(t *testing.T) { assertServed(t, <-got, "") })
 	t.Run("its process ends without an error", func(t *testing.T) { assert.NilError(t, <-f.hosts[0].done) })
 }
+
+// TestLateInGrace guards against requests that a stopping host takes late in the grace time and aborts at its end, so that callers do not
+// learn whether they ran.
+func TestLateInGrace(t *testing.T) {
+	const (
+		grace    = 5 * time.Second
+		work     = 2 * time.Second
+		interval = 200 * time.Millisecond
+		samples  = 6
+	)
+	f := newFleet(t)
+	f.start(2)
+	for _, b := range f.backends {
+		b.SetServiceTime(work)
+	}
+	h := f.hosts[0]
+	h.settings.GraceSeconds = grace.Seconds()
+	dial := func() net.Conn {
+		c, err := net.Dial("tcp", h.settings.CallerAddress)
+		assert.NilError(t, err)
+		t.Cleanup(func() { _ = c.Close() })
+		return c
+	}
+	// From these the host learns the service time.
+	var early sync.WaitGroup
+	for i := range samples {
+		c := dial()
+		early.Go(func() {
+			status, err := writeAttempt(c, fmt.Sprintf("early-%d", i))
+			assert.Check(t, err == nil && status == http.StatusOK, "%d %v", status, err)
+		})
+	}
+	early.Wait()
+	conns := make([]net.Conn, grace/interval)
+	for i := range conns {
+		conns[i] = dial()
+	}
+	begin := time.Now()
+	h.stop()
+	var late sync.WaitGroup
+	for i, c := range conns {
+		late.Go(func() {
+			attempt := fmt.Sprintf("late-%d", i)
+			time.Sleep(time.Until(begin.Add(time.Duration(i) * interval)))
+			status, err := writeAttempt(c, attempt)
+			switch runs := f.runs(attempt); {
+			case err != nil:
+				assert.Check(t, runs == 0, "%s, sent %s after the stop began: ran %d times, no answer: %v", attempt, time.Duration(i)*interval, runs, err)
+			case status == http.StatusServiceUnavailable:
+				assert.Check(t, runs == 0, "%s: ran %d times, 503", attempt, runs)
+			default:
+				assert.Check(t, status == http.StatusOK && runs == 1, "%s: ran %d times, status %d", attempt, runs, status)
+			}
+		})
+	}
+	late.Wait()
+	assert.NilError(t, <-h.done)
+}
+
+// writeAttempt sends a request that may not run twice over a connection and returns the status of the complete response.
+func writeAttempt(c net.Conn, attempt string) (int, error) {
+	_, err := fmt.Fprintf(c, "POST /write/x HTTP/1.1\r\nHost: %s\r\nRosemarygrade-Attempt-Id: %s\r\nRosemarygrade-Deadline-Ms: 9000\r\nContent-Length: 0\r\n\r\n",
+		fake.RouteHost, attempt)
+	if err != nil {
+		return 0, err
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		return 0, err
+	}
+	_, err = io.Copy(io.Discard, resp.Body)
+	return resp.StatusCode, err
+}
--- a/edged/cmds/process.go
+++ b/edged/cmds/process.go
@@ -304,14 +304,15 @@
 	begin := time.Now()
 	p.log.Info("edged is stopping", "event", "stopping", "inFlight", p.proxy.InFlight())
 	p.stopping.Store(true)
-	p.proxy.Stop()
+	end := begin.Add(grace - stopMargin)
+	p.proxy.Stop(begin, begin.Add(acceptAfterStop), end)
 	p.gossip.SetServing(false)
 	p.gossip.Tick(begin, true)
 	select {
 	case <-ctx.Done():
 	case <-time.After(acceptAfterStop):
 	}
-	shutdownCtx, cancel := context.WithDeadline(ctx, begin.Add(grace-stopMargin))
+	shutdownCtx, cancel := context.WithDeadline(ctx, end)
 	defer cancel()
 	if err := p.front.Shutdown(shutdownCtx); err != nil {
 		p.log.Warn("grace time over; requests in flight were aborted", "event", "cut", "inFlight", p.proxy.InFlight(), "error", err)
--- a/edged/pkg/proxy/proxy.go
+++ b/edged/pkg/proxy/proxy.go
@@ -53,7 +53,7 @@
 	meter       *meter.Set
 	log         *slog.Logger
 	inFlight    atomic.Int64
-	stopping    atomic.Bool
+	shutdown    shutdown
 	// writeTimeout bounds the time that one write of a response to the caller may take.
 	writeTimeout time.Duration
 }
@@ -62,7 +62,7 @@
 func New(env Env, codec header.Codec, pool *conns.Pool, table *pick.Table, retryBudget *pick.RetryBudget, m *meter.Set, log *slog.Logger) *Handler {
 	return &Handler{
 		env: env, codec: codec, pool: pool, table: table, splits: pick.NewSplits(), retryBudget: retryBudget, meter: m, log: log,
-		writeTimeout: defaultWriteTimeout,
+		writeTimeout: defaultWriteTimeout, shutdown: newShutdown(),
 	}
 }
 
@@ -72,9 +72,6 @@
 // Prune drops what is stored about routes that are not in the configuration.
 func (p *Handler) Prune(c *plan.Config) { p.splits.Prune(c) }
 
-// Stop makes all later responses ask the caller to close its connection (Connection: close).
-func (p *Handler) Stop() { p.stopping.Store(true) }
-
 // exchange is the state of one request, from its arrival to its response.
 type exchange struct {
 	req      conns.Request
@@ -94,7 +91,7 @@
 	p.inFlight.Add(1)
 	defer p.inFlight.Add(-1)
 	now := time.Now()
-	if p.stopping.Load() {
+	if p.shutdown.begun() {
 		w.Header().Set("Connection", "close")
 	}
 	v := p.env.View()
@@ -113,6 +110,10 @@
 		p.writeReply(w, x, reply)
 		return
 	}
+	if !p.shutdown.accepts(now) {
+		p.writeReply(w, x, p.stoppingReply(x))
+		return
+	}
 	ctx, cancel := context.WithDeadline(r.Context(), x.deadline)
 	defer cancel()
 	resp, reply := p.sendWithRetries(ctx, x)
@@ -260,6 +261,10 @@
 		}
 		switch c := p.choose(ctx, now, x).(type) {
 		case pick.Chosen:
+			if now := time.Now(); !p.shutdown.allowsSend(now, c.Explanation.ExpectedWork) {
+				p.endSend(x, c.Backend, 0, pick.Cancelled, header.Load{})
+				return nil, p.stoppingReply(x)
+			}
 			resp, reply, retry := p.sendOnce(ctx, time.Now(), x, c)
 			if !retry {
 				return resp, reply
@@ -270,6 +275,9 @@
 		case pick.NoBackends:
 			return nil, p.rejectionReply(x, noBackendRetryAfter, "no backend server")
 		default:
+			if ctx.Err() == nil {
+				return nil, p.stoppingReply(x)
+			}
 			return nil, p.timeoutReply(x)
 		}
 	}
@@ -281,8 +289,8 @@
 // noBackendRetryAfter is the Retry-After for a service without backend servers; some may be back by then.
 const noBackendRetryAfter = 500 * time.Millisecond
 
-// choose selects a backend server for the request, waiting in the queue if necessary. It returns nil if ctx ends while the
-// request is queued.
+// choose selects a backend server for the request, waiting in the queue if necessary. It returns nil if ctx or the time for sends ends
+// while the request is queued.
 func (p *Handler) choose(ctx context.Context, now time.Time, x *exchange) pick.Result {
 	x.query.Tried = x.tried
 	r := p.table.Choose(now, p.env.View(), x.query)
@@ -296,11 +304,12 @@
 	case r := <-q.Ticket.Result():
 		return r
 	case <-ctx.Done():
-		if b := p.table.Cancel(q.Ticket); b != nil {
-			p.endSend(x, b, 0, pick.Cancelled, header.Load{})
-		}
-		return nil
+	case <-p.shutdown.sendsOver:
+	}
+	if b := p.table.Cancel(q.Ticket); b != nil {
+		p.endSend(x, b, 0, pick.Cancelled, header.Load{})
 	}
+	return nil
 }
 
 // sendOnce sends the request to the chosen backend server. It returns the response or a local reply; if retry is true, both
@@ -467,6 +476,11 @@
 	return newReply(http.StatusServiceUnavailable, jitter(p.table.RetryAfter(header.Load{})), "no send in time")
 }
 
+// stoppingReply returns the reply to a request that another host should serve: 502 if it may have run, else 503.
+func (p *Handler) stoppingReply(x *exchange) *localReply {
+	return p.rejectionReply(x, jitter(stoppingRetryAfter), "host is stopping")
+}
+
 // rejectionReply returns the reply to a request that no backend server accepts: 502 if it may have run, else 503.
 func (p *Handler) rejectionReply(x *exchange, retryAfter time.Duration, reason string) *localReply {
 	if x.mayHaveRun {
