--- a/entryd/pkg/server/server_test.go
+++ b/entryd/pkg/server/server_test.go
@@ -196,3 +196,20 @@
 		})
 	}
 }
+
+// TestCutHeads guards against a response whose head breaks off and that is passed on as a complete one, with an empty or a short body.
+func TestCutHeads(t *testing.T) {
+	heads := []string{
+		"HTTP/1.1 200 OK\r\nRosemary-Request-Id: id-1\r\nContent-Length: 12\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nContent-Length: 0\r\nRosemary-Request-Id: id-1\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nRosemary-Request-Id: id-1\r\nConnection: close\r\n\r\n",
+	}
+	for _, head := range heads {
+		for cut := 1; cut < len(head); cut++ {
+			address, _ := raw(t, head[:cut])
+			req := request(http.MethodPost, "/", false)
+			req.ID, req.EchoNeeded = "id-1", true
+			assertAborted(t, server.NewClient().Do(t.Context(), address, req, &recorder{}), false)
+		}
+	}
+}
