--- a/edged/pkg/pick/candidate.go
+++ b/edged/pkg/pick/candidate.go
@@ -182,11 +182,11 @@
 // untilEligible returns how long it takes at least until the request may be sent to a backend server that it may not be sent to now, and
 // reports whether there is one that leaves enough time: one in slow start for which this host is elected, or one whose backpressure ends.
 // If there is none, the time is that of the earliest backend server, or 0.
-func (t *Table) untilEligible(now time.Time, v *plan.View, q *Query) (time.Duration, bool) {
+func (t *Table) untilEligible(now time.Time, svc *service, q *Query) (time.Duration, bool) {
 	earliest, found := time.Duration(0), false
-	for _, b := range v.Usable(q.Service) {
-		s := t.server(b)
-		wait, ends := s.backpressure.wait(now, t.division())
+	for _, m := range svc.rendezvous.members {
+		b := m.server.backend
+		wait, ends := m.server.backpressure.wait(now, t.division())
 		if !ends || !allowed(b, q) || (wait == 0 && !b.InSlowStart(now)) || (b.InSlowStart(now) && !t.fleet.IsElectedFor(b)) {
 			continue
 		}
--- a/edged/pkg/pick/pick.go
+++ b/edged/pkg/pick/pick.go
@@ -271,7 +271,7 @@
 	svc := t.service(q.Service)
 	c, ok := t.bestCandidate(now, v, svc, &q)
 	if !ok {
-		wait, later := t.untilEligible(now, v, &q)
+		wait, later := t.untilEligible(now, svc, &q)
 		if !later {
 			return Rejected{RetryAfter: min(maxRetryAfter, max(wait, ejectionTime)), Explanation: t.explain(now, svc, c)}
 		}
@@ -375,7 +375,7 @@
 		}
 		later := ok
 		if !ok {
-			c.wait, later = t.untilEligible(now, v, &ticket.query)
+			c.wait, later = t.untilEligible(now, svc, &ticket.query)
 		}
 		if ticket.query.Deadline.Sub(now) < c.wait+svc.minWorkTime() || !later {
 			ticket.result <- Rejected{RetryAfter: svc.queueWait(now, len(svc.queue)), Explanation: t.explain(now, svc, c)}
