pick: a limit ends without responses, and outlives the backend server's entry

Fault, found by reading: in a large fleet a host's share of a limit is a request in minutes, so a host that had been told learned very late that the limit had ended; and a limit or a pause was lost when the backend server's entry was gone for a moment, as after an outage of the store. Change: a limit that no response has named for 30 s, or for twice the time that a share takes, is forgotten; what a backend server asked for is kept for 10 minutes without its entry.

--- a/edged/pkg/pick/backpressure.go
+++ b/edged/pkg/pick/backpressure.go
@@ -7,9 +7,9 @@
 	"rosemarygrade.dev/lib/pkg/plan"
 )
 
-// leavingRetention is how long a host remembers that a backend server leaves after its entry is gone. Until then the entry may come back
-// from a peer that did not hear of its removal.
-const leavingRetention = 10 * time.Minute
+// retention is how long a host remembers what a backend server asked for after its entry is gone. Until then the entry may come back: from
+// a peer that did not hear of its removal, or after an outage of the store.
+const retention = 10 * time.Minute
 
 // backpressure is what one incarnation of a backend server asked of this host in its responses. It holds whatever the store says of
 // the backend server.
@@ -40,7 +40,8 @@
 
 // mustRemember reports whether the backpressure is still needed after the backend server's entry is gone.
 func (p *backpressure) mustRemember(now time.Time) bool {
-	return !p.leavingSince.IsZero() && now.Sub(p.leavingSince) < leavingRetention
+	recent := func(at time.Time) bool { return !at.IsZero() && now.Sub(at) < retention }
+	return recent(p.leavingSince) || recent(p.limit.namedAt) || p.pausedUntil.After(now)
 }
 
 // BackpressureChange tells what a response changed.
--- a/edged/pkg/pick/backpressure_test.go
+++ b/edged/pkg/pick/backpressure_test.go
@@ -235,6 +235,34 @@
 	assert.Assert(t, table.ReceiveBackpressure(at(5), at(4), b, header.Backpressure{}).LimitEnds)
 }
 
+// TestLimitIsForgotten guards against a limit that outlives its end for long on a host that sends nothing because of it, and against one
+// that is lost with the backend server's entry.
+func TestLimitIsForgotten(t *testing.T) {
+	v := view(1, nil)
+	b := v.Backend("b0")
+	mayBeSent := func(table *Table, now time.Time) bool {
+		q := query(1)
+		q.Objective, q.Deadline = now.Add(time.Millisecond), now.Add(time.Millisecond)
+		_, ok := table.Choose(now, v, q).(Chosen)
+		return ok
+	}
+	limited := func() *Table {
+		table := New(DefaultRules(), testFleet{hosts: 100})
+		table.random = rand.New(rand.NewPCG(1, 1))
+		table.ReceiveBackpressure(start, start, b, header.Backpressure{RequestsPerSecond: 1, Limited: true})
+		return table
+	}
+	assert.Assert(t, !mayBeSent(limited(), start))
+	t.Run("without a response for twice the time that a share takes", func(t *testing.T) {
+		assert.Assert(t, mayBeSent(limited(), start.Add(201*time.Second)))
+	})
+	t.Run("not while the entry is gone", func(t *testing.T) {
+		table := limited()
+		table.Prune(start.Add(time.Second), view(0, nil))
+		assert.Assert(t, !mayBeSent(table, start.Add(2*time.Second)))
+	})
+}
+
 // TestLimitRejects guards against requests that wait for a share of a limit until their deadline has passed.
 func TestLimitRejects(t *testing.T) {
 	v := view(1, nil)
--- a/edged/pkg/pick/limit.go
+++ b/edged/pkg/pick/limit.go
@@ -15,6 +15,11 @@
 	// what the limit allows in that time, and so many requests more.
 	savedWindow   = 500 * time.Millisecond
 	savedRequests = 1
+	// minLimitTTL is the shortest time after which a limit ends that was not named again, because this host got no response.
+	minLimitTTL = 30 * time.Second
+	// limitTTLShares is in how many of the times that its share takes for one request a host must have got no response for a limit to end:
+	// then the first requests of hosts whose limit has ended add little to what the others send.
+	limitTTLShares = 2
 )
 
 // division is how a limit of all hosts together is divided between them.
@@ -24,7 +29,7 @@
 }
 
 // rateLimit is this host's share of the rate that a backend server accepts from all hosts together: a token bucket with an equal share
-// of the rate. It is in force from the response that names it until one to a later request does not.
+// of the rate. It is in force from the response that names it until one to a later request does not, or until there was none for long.
 //
 // If each of very many hosts kept a token until it had a request, all could send at the same time after a while without requests. So a
 // token that is not used is lost after some time, and the bucket begins again with a random share of one.
@@ -94,6 +99,9 @@
 
 // wait returns how long this host may send no request.
 func (l *rateLimit) wait(now time.Time, d division) time.Duration {
+	if l.active && now.Sub(l.namedAt) > l.ttl(d) {
+		*l = rateLimit{}
+	}
 	if !l.active {
 		return 0
 	}
@@ -104,6 +112,11 @@
 	return secondsOf((1 - l.tokens) / l.share(d))
 }
 
+// ttl returns how long the limit stays in force without a response that names it.
+func (l *rateLimit) ttl(d division) time.Duration {
+	return max(minLimitTTL, secondsOf(limitTTLShares/l.share(d)))
+}
+
 // recordSend takes a token.
 func (l *rateLimit) recordSend(now time.Time, d division) {
 	if l.active {
