--- a/edged/cmds/fleet_test.go
+++ b/edged/cmds/fleet_test.go
@@ -560,7 +560,7 @@
 		}
 	}
 	f.store.SetUnavailable(true)
-	leaving.SetExtraHeaders("Server-Leaving: 1\r\n")
+	leaving.SetExtraHeaders(fake.LineLeaving)
 	for n, h := range f.hosts {
 		told := fmt.Sprintf("told-%d", n)
 		assertServed(t, f.call(h, http.MethodGet, "/read/x", "", told), "")
@@ -656,11 +656,14 @@
 
 // writeAttempt sends a request that may not run twice over a connection and returns the status of the complete response.
 func writeAttempt(c net.Conn, attempt string) (int, error) {
-	_, err := fmt.Fprintf(c, "POST /write/x HTTP/1.1\r\nHost: %s\r\nRosemarygrade-Attempt-Id: %s\r\nRosemarygrade-Deadline-Ms: 9000\r\nContent-Length: 0\r\n\r\n",
-		fake.RouteHost, attempt)
+	r, err := http.NewRequest(http.MethodPost, "http://"+fake.RouteHost+"/write/x", http.NoBody)
 	if err != nil {
 		return 0, err
 	}
+	fake.SetCallerHeaders(r.Header, attempt, "7", callerTimeout)
+	if err := r.Write(c); err != nil {
+		return 0, err
+	}
 	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
 	if err != nil {
 		return 0, err
--- a/edged/pkg/watch/batch.go
+++ b/edged/pkg/watch/batch.go
@@ -25,7 +25,7 @@
 func (b *batch) noteChange(old, c plan.Change) {
 	spec, ok := c.Resource.(plan.BackendSpec)
 	before, _ := old.Resource.(plan.BackendSpec)
-	if ok && spec.Leaving && !(before.Leaving && before.Incarnation == spec.Incarnation) {
+	if ok && spec.Leaving && (!before.Leaving || before.Incarnation != spec.Incarnation) {
 		b.leaving = append(b.leaving, spec.ID)
 	}
 }
