--- a/edged/pkg/pick/pick.go
+++ b/edged/pkg/pick/pick.go
@@ -373,11 +373,13 @@
 			ticket.result <- Chosen{Backend: c.server.backend, Explanation: explanation}
 			continue
 		}
-		later := ok
+		needed, later := svc.minWorkTime(), true
 		if !ok {
+			// No backend server is eligible yet.
 			c.wait, later = t.untilEligible(now, svc, &ticket.query)
+			needed += c.wait
 		}
-		if ticket.query.Deadline.Sub(now) < c.wait+svc.minWorkTime() || !later {
+		if ticket.query.Deadline.Sub(now) < needed || !later {
 			ticket.result <- Rejected{RetryAfter: svc.queueWait(now, len(svc.queue)), Explanation: t.explain(now, svc, c)}
 			continue
 		}
