--- a/edged/pkg/pick/limit.go
+++ b/edged/pkg/pick/limit.go
@@ -17,8 +17,8 @@
 	savedRequests = 1
 	// minLimitTTL is the shortest time after which a limit ends that was not named again, because this host got no response.
 	minLimitTTL = 30 * time.Second
-	// limitTTLShares is in how many of the times that its share takes for one request a host must have got no response for a limit to end:
-	// then the first requests of hosts whose limit has ended add little to what the others send.
+	// limitTTLShares is the lifetime of a limit that is not named again, in units of the time in which a host's share is one request, so
+	// that the first requests of hosts that forgot the limit stay well below it.
 	limitTTLShares = 2
 )
 
