--- a/review/standin/cold.go
+++ b/review/standin/cold.go
@@ -21,11 +21,22 @@
 	notice = 500 * time.Millisecond
 )
 
-// coldAgainAfter is when the new target becomes cold again, after its start: it has been warm for half a second by then.
-const coldAgainAfter = 3500 * time.Millisecond
+// Times after the start of the new target at which it becomes cold again.
+const (
+	// soonAfterSlowStart is when it has been warm for half a second, and has not said so in its entry yet.
+	soonAfterSlowStart = 3500 * time.Millisecond
+	// longAfterSlowStart is when its entry has said for long that it is warm.
+	longAfterSlowStart = 9 * time.Second
+)
+
+// runColdSoon lets a target become cold again shortly after its slow start.
+func runColdSoon(s setup) (bool, error) { return runCold(s, soonAfterSlowStart, 100*time.Millisecond) }
+
+// runColdBusy lets a target become cold again that has been warm for long and is at work on requests.
+func runColdBusy(s setup) (bool, error) { return runCold(s, longAfterSlowStart, 200*time.Millisecond) }
 
-// runCold starts a target during traffic and lets it become cold again shortly after its slow start.
-func runCold(s setup) (bool, error) {
+// runCold starts a target during traffic and lets it become cold again some time after its start.
+func runCold(s setup, againAfter, work time.Duration) (bool, error) {
 	st := newStore()
 	address, err := st.serve()
 	if err != nil {
@@ -33,7 +44,7 @@
 	}
 	putConfig(st, 1, usualLimits, coldPerSecond, warmupSeconds,
 		route{name: "orders", prefix: "/orders/", kind: "unsafe", service: "works", timeout: 2 * time.Second, attempts: 2})
-	spec := targetSpec{service: "works", slots: 3, queue: 9, work: 100 * time.Millisecond}
+	spec := targetSpec{service: "works", slots: 3, queue: 9, work: work}
 	for i := range 3 {
 		spec.id, spec.zone = fmt.Sprintf("i-old-%d", i), zones[i%len(zones)]
 		if _, err := startTarget(st, spec); err != nil {
@@ -55,7 +66,7 @@
 		return false, err
 	}
 	s.rec.say("target i-new starts, cold for %.1f s", warmupSeconds)
-	time.Sleep(coldAgainAfter)
+	time.Sleep(againAfter)
 	var again time.Time
 	if s.trouble {
 		again = time.Now()
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -25,9 +25,10 @@
 
 // cases holds the cases by name. A case reports whether the rule was broken.
 var cases = map[string]func(s setup) (bool, error){
-	"cold":   runCold,
-	"limits": runLimits,
-	"memory": runMemory,
+	"cold-soon": runColdSoon,
+	"cold-busy": runColdBusy,
+	"limits":    runLimits,
+	"memory":    runMemory,
 }
 
 func main() {
