--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -6,7 +6,7 @@
   echo 'build first: the line "build" of deploy/system.toml, and review/build.sh' >&2
   exit 2
 fi
-timeout -k 5 110 .build/review/standin -case cold-soon -program target/edged -record review/4/record.txt
+timeout -k 5 110 .build/review/standin -case cold-busy -program target/edged -record review/4/record.txt
 status=$?
 [ "$status" -le 1 ] || status=2
 exit "$status"
