--- a/review/standin-2/fleet.go
+++ b/review/standin-2/fleet.go
@@ -48,6 +48,8 @@
 	record       *record
 	store        *store
 	hosts        []*host
+	// zones are those of the hosts, in turn.
+	zones []string
 }
 
 // freePorts returns a first port from which n ports are free on an address.
@@ -79,7 +81,7 @@
 
 func newFleet(program, dir string, r *record) (*fleet, error) {
 	s, err := newStore()
-	return &fleet{program: program, dir: dir, record: r, store: s}, err
+	return &fleet{program: program, dir: dir, record: r, store: s, zones: []string{"north-a", "south-a"}}, err
 }
 
 // startHosts starts n processes, each on its own loopback address, and waits until all are ready.
@@ -90,11 +92,10 @@
 	if err != nil {
 		return err
 	}
-	zones := []string{"north-a", "south-a"}
 	for i := range n {
 		ip := fmt.Sprintf("127.0.%d.%d", first, 10+i)
 		at := func(n int) string { return fmt.Sprintf("%s:%d", ip, base+n) }
-		zone := zones[i%len(zones)]
+		zone := f.zones[i%len(f.zones)]
 		settings := map[string]any{
 			"host": fmt.Sprintf("front-%s-%d", zone, i), "ip": ip, "dataCentre": zone, "region": regions[zone], "regions": regions,
 			"callerAddress": at(0), "readyAddress": at(1), "lookupAddress": at(2), "adminAddress": at(3), "metricsPort": base + 4,
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -10,7 +10,9 @@
 )
 
 var cases = map[string]func(ctx context.Context, f *fleet, trouble bool) ([]string, error){
-	"slow-upload": slowUpload,
+	"slow-upload":    slowUpload,
+	"roll-cold":      rollCold,
+	"evacuate-order": evacuateOrder,
 }
 
 func main() {
