--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -6,6 +6,8 @@
 	"context"
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 )
 
@@ -47,9 +49,15 @@
 	defer f.stop()
 	trouble := os.Getenv("TROUBLE") != "0"
 	r.add("case %s, with the disruption: %v", args[0], trouble)
-	ctx, cancel := context.WithTimeout(context.Background(), 110*time.Second)
+	signalled, ignore := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer ignore()
+	ctx, cancel := context.WithTimeout(signalled, 110*time.Second)
 	defer cancel()
 	broken, err := cases[args[0]](ctx, f, trouble)
+	if err == nil {
+		// A case that was ended early says nothing.
+		err = ctx.Err()
+	}
 	if err != nil {
 		r.add("the case could not run: %v", err)
 		fmt.Fprintln(os.Stderr, err)
