reply: tell the end of a response from a reset that a write of the request got

Callers saw a part of a response as all of it, with status 200: the backend server responded to a long upload at once, without a length, sent a part of the body and reset the connection while the upload was still being written. edged and entryd were both affected.

Cause: the kernel reports the failure of a connection once. Where the write of the upload got ECONNRESET (or ETIMEDOUT), the read of the response saw an ordinary end of the connection, which is the end of a body without a length.

reply.Conn records the failures of writes. A read that sees the end makes writes fail, waits for the one in progress, and returns its failure if there was one. EPIPE is not counted: the kernel returns it for a reset that follows the peer's end, so the response has arrived completely. The pool of edged and the transport of entryd use it; responses with a length or in chunks did not depend on this.

TestUnsent passes a function in place of an io.Writer; what it checks is the same.

--- a/edged/pkg/conns/body.go
+++ b/edged/pkg/conns/body.go
@@ -18,7 +18,7 @@
 		for _, part := range req.Body.Parts() {
 			data = append(data, part...)
 		}
-		w.run(c.Conn, net.Buffers{data})
+		w.run(c.WriteBuffers, net.Buffers{data})
 		if w.isUnsent() {
 			return nil, fault.Wrap("write", KindUnsent, w.err)
 		}
@@ -31,7 +31,7 @@
 	req.Body.Retain()
 	go func() {
 		defer req.Body.Release()
-		w.run(c.Conn, append(net.Buffers{data}, req.Body.Parts()...))
+		w.run(c.WriteBuffers, append(net.Buffers{data}, req.Body.Parts()...))
 	}()
 	return w, nil
 }
@@ -44,8 +44,8 @@
 	err   error
 }
 
-func (w *write) run(c io.Writer, parts net.Buffers) {
-	w.n, w.err = parts.WriteTo(c)
+func (w *write) run(writeTo func(parts net.Buffers) (int64, error), parts net.Buffers) {
+	w.n, w.err = writeTo(parts)
 	close(w.ended)
 }
 
--- a/edged/pkg/conns/conns.go
+++ b/edged/pkg/conns/conns.go
@@ -18,6 +18,7 @@
 
 	"rosemarygrade.dev/edged/pkg/memory"
 	"rosemarygrade.dev/lib/pkg/fault"
+	"rosemarygrade.dev/lib/pkg/reply"
 )
 
 // Kind is the kind of an error of the package.
@@ -121,7 +122,7 @@
 }
 
 type conn struct {
-	net.Conn
+	*reply.Conn
 	reader *bufio.Reader
 	head   *headLimit
 	open   *openCount
@@ -275,7 +276,7 @@
 		if c == nil {
 			break
 		}
-		if now.Before(c.until) && quiet(c.Conn) {
+		if now.Before(c.until) && quiet(c.NetConn()) {
 			return c, nil
 		}
 		_ = c.Close()
@@ -287,8 +288,9 @@
 		p.open.remove()
 		return nil, fault.Wrap("connect", KindUnsent, err)
 	}
-	head := &headLimit{source: raw}
-	return &conn{Conn: raw, reader: bufio.NewReaderSize(head, readBufferBytes), head: head, open: &p.open, target: target}, nil
+	c := reply.NewConn(raw)
+	head := &headLimit{source: c}
+	return &conn{Conn: c, reader: bufio.NewReaderSize(head, readBufferBytes), head: head, open: &p.open, target: target}, nil
 }
 
 // popIdle removes and returns the connection that was idle for the shortest time, if the idle limits allow its use.
--- a/edged/pkg/conns/unsent_test.go
+++ b/edged/pkg/conns/unsent_test.go
@@ -56,7 +56,7 @@
 	})
 	t.Run("a write that wrote nothing and did not fail", func(t *testing.T) {
 		w := &write{ended: make(chan struct{})}
-		w.run(io.Discard, nil)
+		w.run(func(parts net.Buffers) (int64, error) { return parts.WriteTo(io.Discard) }, nil)
 		assert.Assert(t, w.isComplete() && !w.isUnsent())
 	})
 }
--- a/entryd/pkg/server/server.go
+++ b/entryd/pkg/server/server.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"rosemarygrade.dev/entryd/pkg/flow"
+	"rosemarygrade.dev/lib/pkg/reply"
 )
 
 // Headers between entryd and backend servers.
@@ -48,9 +49,16 @@
 // NewClient returns a Client without connections.
 func NewClient() *Client {
 	dialer := &net.Dialer{Timeout: dialTimeout}
+	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
+		c, err := dialer.DialContext(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return reply.NewConn(c), nil
+	}
 	return &Client{
 		transport: &http.Transport{
-			DialContext: dialer.DialContext, MaxIdleConnsPerHost: maxIdlePerServer,
+			DialContext: dial, MaxIdleConnsPerHost: maxIdlePerServer,
 			IdleConnTimeout: idleTimeout, DisableCompression: true, MaxResponseHeaderBytes: maxHeaderBytes,
 		},
 		buffers: sync.Pool{New: func() any { b := make([]byte, chunkBytes); return &b }},
