reply: refuse responses whose status is none

A backend server in trouble responded with status 000. entryd took this for the response and its handler then failed on the status, so the caller's connection was closed without one. edged took the head for an interim response (all below 200 did): it waited until the request's deadline for another head, or passed on as the response what stood in the body. The client of the object API took 000 for success: an operator's or steerd's call seemed done.

Cause: net/http accepts any three characters that are a number as a status, and each reader drew its own line below 200.

reply.CheckStatus refuses what is below 100, and 101, which nobody asks for. edged checks each head with it, interim ones included; reply.Transport does for all that read responses through http.Transport: entryd, the clients of both stores, pulls between hosts, rosectl. It also closes the connection: one without a body would otherwise be reused.

The soak learns the fault.

--- a/edged/pkg/conns/conns.go
+++ b/edged/pkg/conns/conns.go
@@ -263,8 +263,14 @@
 func readHead(r *bufio.Reader, req *http.Request) (*http.Response, error) {
 	for {
 		resp, err := http.ReadResponse(r, req)
-		if err != nil || resp.StatusCode >= http.StatusOK {
-			return resp, err
+		if err != nil {
+			return nil, err
+		}
+		if err := reply.CheckStatus(resp.StatusCode); err != nil {
+			return nil, err
+		}
+		if resp.StatusCode >= http.StatusOK {
+			return resp, nil
 		}
 	}
 }
--- /dev/null
+++ b/edged/pkg/conns/head_test.go
@@ -0,0 +1,47 @@
+package conns
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// assertHeadRefused sends a request to a backend server that writes text and keeps the connection open. The send must fail as broken,
+// without waiting for more.
+func assertHeadRefused(t *testing.T, text string) {
+	t.Helper()
+	address := server(t, func(c net.Conn, _ *http.Request, _ int) bool {
+		_, err := io.WriteString(c, text)
+		return err == nil
+	})
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	_, err := NewPool(Dialer(), echo).Send(ctx, "t", address, &Request{ID: "a", Method: http.MethodGet, URI: "/", Host: "h"})
+	assertKind(t, err, KindBroken)
+	assert.NilError(t, ctx.Err(), "the send waited for more")
+}
+
+// TestStatuses guards against heads whose status is none of a response and that count as an interim or a final response.
+func TestStatuses(t *testing.T) {
+	const (
+		rest  = "\r\nX-Id: a\r\nContent-Length: 0\r\n\r\n"
+		whole = "HTTP/1.1 200 OK\r\nX-Id: a\r\nContent-Length: 2\r\n\r\nok"
+	)
+	for _, status := range []string{"000", "000 OK", "001 OK", "099 OK", "-00 OK", "+99 OK", "101 Switching Protocols"} {
+		t.Run(status, func(t *testing.T) { assertHeadRefused(t, "HTTP/1.1 "+status+rest) })
+		t.Run(status+", then a response", func(t *testing.T) { assertHeadRefused(t, "HTTP/1.1 "+status+rest+whole) })
+		t.Run(status+", after an interim response", func(t *testing.T) {
+			assertHeadRefused(t, "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 "+status+rest)
+		})
+	}
+	t.Run("an interim response is skipped", func(t *testing.T) {
+		got, err := send(t, NewPool(Dialer(), echo), server(t, respond("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\n\r\n"+whole)), "a")
+		assert.NilError(t, err)
+		assert.Equal(t, string(got.Body()), "ok")
+	})
+}
--- a/edged/pkg/gossip/gossip.go
+++ b/edged/pkg/gossip/gossip.go
@@ -19,6 +19,7 @@
 	"rosemarygrade.dev/lib/pkg/fault"
 	"rosemarygrade.dev/lib/pkg/plan"
 	"rosemarygrade.dev/lib/pkg/rank"
+	"rosemarygrade.dev/lib/pkg/reply"
 )
 
 // Timeouts of the failure detection.
@@ -133,7 +134,7 @@
 		return nil, fault.Wrap("listen", KindListen, err)
 	}
 	dialer := conns.Dialer()
-	client := &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, IdleConnTimeout: pullIdleTimeout}}
+	client := &http.Client{Transport: reply.NewTransport(&http.Transport{DialContext: dialer.DialContext, IdleConnTimeout: pullIdleTimeout})}
 	m := newMembership(now, self, state, table, log, &sockets{conn: conn, client: client})
 	m.conn = conn
 	return m, nil
--- a/entryd/pkg/server/server.go
+++ b/entryd/pkg/server/server.go
@@ -42,25 +42,18 @@
 
 // Client sends requests to backend servers. It is safe for concurrent use.
 type Client struct {
-	transport *http.Transport
+	transport *reply.Transport
 	buffers   sync.Pool
 }
 
 // NewClient returns a Client without connections.
 func NewClient() *Client {
 	dialer := &net.Dialer{Timeout: dialTimeout}
-	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
-		c, err := dialer.DialContext(ctx, network, address)
-		if err != nil {
-			return nil, err
-		}
-		return reply.NewConn(c), nil
-	}
 	return &Client{
-		transport: &http.Transport{
-			DialContext: dial, MaxIdleConnsPerHost: maxIdlePerServer,
+		transport: reply.NewTransport(&http.Transport{
+			DialContext: dialer.DialContext, MaxIdleConnsPerHost: maxIdlePerServer,
 			IdleConnTimeout: idleTimeout, DisableCompression: true, MaxResponseHeaderBytes: maxHeaderBytes,
-		},
+		}),
 		buffers: sync.Pool{New: func() any { b := make([]byte, chunkBytes); return &b }},
 	}
 }
--- a/lib/pkg/object/object.go
+++ b/lib/pkg/object/object.go
@@ -17,6 +17,7 @@
 	"golang.org/x/time/rate"
 
 	"rosemarygrade.dev/lib/pkg/fault"
+	"rosemarygrade.dev/lib/pkg/reply"
 	"rosemarygrade.dev/lib/pkg/sleep"
 	"rosemarygrade.dev/lib/pkg/wire"
 )
@@ -72,6 +73,7 @@
 	callsPerSecond   = 50
 	callsBurst       = 100
 	callTimeout      = 5 * time.Second
+	idleTimeout      = 90 * time.Second
 	maxResponseBytes = 64 << 20
 	readBackAttempts = 3
 	readBackDelay    = 200 * time.Millisecond
@@ -88,7 +90,7 @@
 func NewHTTP(address string) *HTTP {
 	return &HTTP{
 		base:    "http://" + address + "/v1",
-		client:  &http.Client{},
+		client:  &http.Client{Transport: reply.NewTransport(&http.Transport{Proxy: http.ProxyFromEnvironment, IdleConnTimeout: idleTimeout})},
 		limiter: rate.NewLimiter(callsPerSecond, callsBurst),
 	}
 }
--- /dev/null
+++ b/lib/pkg/object/object_test.go
@@ -0,0 +1,62 @@
+package object_test
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"rosemarygrade.dev/lib/pkg/fault"
+	"rosemarygrade.dev/lib/pkg/object"
+)
+
+// newClient returns a client of a platform that writes the same text in response to each call.
+func newClient(t *testing.T, text string) *object.HTTP {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = c.Close() }()
+				if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+					_, _ = io.WriteString(c, text)
+				}
+			}()
+		}
+	}()
+	return object.NewHTTP(l.Addr().String())
+}
+
+const listing = "Connection: close\r\n\r\n" + `{"revision":7,"objects":[]}`
+
+// TestHeads guards against heads that are none of a response and count as a success.
+func TestHeads(t *testing.T) {
+	for name, text := range map[string]string{
+		"status 000": "HTTP/1.1 000 OK\r\n" + listing,
+		"status 001": "HTTP/1.1 001 OK\r\n" + listing,
+		"status 101": "HTTP/1.1 101 Switching Protocols\r\n" + listing,
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := newClient(t, text)
+			_, err := c.List(t.Context())
+			assert.Equal(t, fault.KindOf[object.Kind](err), object.KindUnavailable, "%v", err)
+			_, err = c.Watch(t.Context(), 1, time.Millisecond)
+			assert.Equal(t, fault.KindOf[object.Kind](err), object.KindUnavailable, "%v", err)
+		})
+	}
+	t.Run("a response", func(t *testing.T) {
+		l, err := newClient(t, "HTTP/1.1 200 OK\r\n"+listing).List(t.Context())
+		assert.NilError(t, err)
+		assert.Equal(t, l.Revision, uint64(7))
+	})
+}
--- /dev/null
+++ b/lib/pkg/reply/transport.go
@@ -0,0 +1,49 @@
+package reply
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+)
+
+// Transport is an http.RoundTripper that sends requests over http.Transport and fails where the response is none in the protocol. It is
+// safe for concurrent use.
+type Transport struct{ base *http.Transport }
+
+// NewTransport returns a Transport with the settings of base, whose connections are each a Conn.
+func NewTransport(base *http.Transport) *Transport {
+	out := base.Clone()
+	dial := out.DialContext
+	if dial == nil {
+		dial = new(net.Dialer).DialContext
+	}
+	out.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+		c, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return NewConn(c), nil
+	}
+	return &Transport{base: out}
+}
+
+// RoundTrip implements http.RoundTripper.
+func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
+	var conn net.Conn
+	ctx := httptrace.WithClientTrace(r.Context(), &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) { conn = i.Conn }})
+	resp, err := t.base.RoundTrip(r.WithContext(ctx))
+	if err != nil {
+		return nil, err
+	}
+	if err := CheckStatus(resp.StatusCode); err != nil {
+		_ = resp.Body.Close()
+		// A response without a body has left its connection for reuse, and what follows on it belongs to no request.
+		_ = conn.Close()
+		return nil, err
+	}
+	return resp, nil
+}
+
+// CloseIdleConnections closes the idle connections.
+func (t *Transport) CloseIdleConnections() { t.base.CloseIdleConnections() }
--- a/rosectl/cmds/read.go
+++ b/rosectl/cmds/read.go
@@ -12,6 +12,7 @@
 
 	"github.com/spf13/cobra"
 
+	"rosemarygrade.dev/lib/pkg/reply"
 	"rosemarygrade.dev/lib/pkg/wire"
 	"rosemarygrade.dev/rosectl/pkg/output"
 )
@@ -222,6 +223,8 @@
 	maxBodyBytes = 64 << 20
 )
 
+var adminClient = &http.Client{Transport: reply.NewTransport(&http.Transport{Proxy: http.ProxyFromEnvironment})}
+
 // fetch returns the status and body of a GET request to a process's admin address.
 func fetch(ctx context.Context, address, path string) (int, []byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
@@ -230,7 +233,7 @@
 	if err != nil {
 		return 0, nil, err
 	}
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := adminClient.Do(req)
 	if err != nil {
 		return 0, nil, fmt.Errorf("%s: %w: %w", address, errNoResponse, err)
 	}
--- a/soak/pkg/runner/faults.go
+++ b/soak/pkg/runner/faults.go
@@ -18,7 +18,7 @@
 const (
 	shortFaultDuration = time.Second
 	longFaultDuration  = 2 * time.Second
-	faultTableSize     = 32
+	faultTableSize     = 34
 	// recoverTimeout is how long after the restart of all hosts the first request must be served; the specified limit is 15 s.
 	recoverTimeout = 5 * time.Second
 	// joinTimeout is how long after its start a new host must be ready, maxNewHosts how many are started in a run.
@@ -32,6 +32,7 @@
 	responseFaults := []fake.Fault{
 		fake.FaultNoResponse, fake.FaultTruncated, fake.FaultMalformed, fake.FaultExtra, fake.FaultShed, fake.FaultError,
 		fake.FaultLate, fake.FaultReset, fake.FaultEndlessHead, fake.FaultEndlessInterim, fake.FaultEndlessChunk, fake.FaultDrip,
+		fake.FaultStatus,
 	}
 	list := make([]injectedFault, 0, faultTableSize)
 	list = append(list, []injectedFault{
