reply: refuse heads in which a name of a field has a blank

A backend server in trouble sent a head with a blank in the name of a field, such as "Transfer-Encoding : chunked" or "X Y: z". The caller got it as the response: without that line, or, where the line framed the body, with another body than the backend server's (the bytes of its chunks). On a connection that stayed open, a response whose length stood in such a line was awaited until the deadline.

Cause: net/http accepts blanks in names, keeps such fields under the names as sent, and takes no account of them for the end of the body. It refuses control bytes itself; their tests stay.

reply.CheckHead now checks the names, of interim responses too: in edged, and through reply.Transport in entryd, the clients of both stores, pulls and rosectl. entryd also checks the heads that another entryd passes on, status included: one of an earlier version may send such a head.

The soak learns the fault.

--- a/edged/cmds/fleet_test.go
+++ b/edged/cmds/fleet_test.go
@@ -328,6 +328,7 @@
 		{fake.FaultTruncated, "POST", "/write/x", http.StatusBadGateway, 1},
 		{fake.FaultMalformed, "POST", "/write/x", http.StatusBadGateway, 1},
 		{fake.FaultStatus, "POST", "/write/x", http.StatusBadGateway, 1},
+		{fake.FaultFieldName, "POST", "/write/x", http.StatusBadGateway, 1},
 		{fake.FaultShed, "POST", "/write/x", http.StatusServiceUnavailable, 0},
 		{fake.FaultError, "POST", "/write/x", http.StatusInternalServerError, 1},
 		{fake.FaultExtra, "POST", "/write/x", http.StatusOK, 1},
--- a/edged/pkg/conns/conns.go
+++ b/edged/pkg/conns/conns.go
@@ -266,7 +266,7 @@
 		if err != nil {
 			return nil, err
 		}
-		if err := reply.CheckStatus(resp.StatusCode); err != nil {
+		if err := reply.CheckHead(resp.StatusCode, resp.Header); err != nil {
 			return nil, err
 		}
 		if resp.StatusCode >= http.StatusOK {
--- a/edged/pkg/conns/head_test.go
+++ b/edged/pkg/conns/head_test.go
@@ -45,3 +45,30 @@
 		assert.Equal(t, string(got.Body()), "ok")
 	})
 }
+
+// TestFieldNames guards against names of fields that net/http accepts but that are none: it takes no account of such a line, so that the
+// body can be another than the backend server's.
+func TestFieldNames(t *testing.T) {
+	const rest = "X-Id: a\r\nContent-Length: 2\r\n\r\nok"
+	for name, line := range map[string]string{
+		"a blank in it":             "X Y: z",
+		"a blank before the colon":  "X-Y : z",
+		"a blank after a length":    "Content-Length : 1",
+		"a blank after an encoding": "Transfer-Encoding : chunked",
+		"a tab":                     "X\tY: z",
+		"a control byte":            "X\x01Y: z",
+		"NUL":                       "X\x00Y: z",
+		"DEL":                       "X\x7fY: z",
+		"a carriage return":         "X\rY: z",
+		"a byte above ASCII":        "X\xe4: z",
+		"nothing":                   ": z",
+	} {
+		t.Run(name, func(t *testing.T) { assertHeadRefused(t, "HTTP/1.1 200 OK\r\n"+line+"\r\n"+rest) })
+		t.Run(name+", last", func(t *testing.T) {
+			assertHeadRefused(t, "HTTP/1.1 200 OK\r\nX-Id: a\r\n"+line+"\r\n\r\n2\r\nok\r\n0\r\n\r\n")
+		})
+		t.Run(name+", in an interim response", func(t *testing.T) {
+			assertHeadRefused(t, "HTTP/1.1 103 Early Hints\r\nX: y\r\n"+line+"\r\n\r\nHTTP/1.1 200 OK\r\n"+rest)
+		})
+	}
+}
--- a/entryd/pkg/entry/client.go
+++ b/entryd/pkg/entry/client.go
@@ -14,6 +14,7 @@
 	"rosemarygrade.dev/lib/pkg/model"
 	"rosemarygrade.dev/lib/pkg/peer"
 	"rosemarygrade.dev/lib/pkg/peerpb"
+	"rosemarygrade.dev/lib/pkg/reply"
 )
 
 // Connection classes. Each has its own connection, so that large background transfers do not delay
@@ -114,6 +115,9 @@
 		Status: int(h.GetStatus()), Header: fromHeaders(h.GetHeaders()), Size: h.GetBodyBytes(),
 		Server: h.GetServer(), Load: fromLoad(h.GetLoad()),
 	}
+	if err := reply.CheckHead(head.Status, head.Header); err != nil {
+		return flow.Aborted{Reason: err.Error()}
+	}
 	body := newBodyReader(in)
 	// The first frame of the body is received before the head is written, so that the caller can
 	// still get an error response if the body fails there.
--- a/entryd/pkg/entry/entry_test.go
+++ b/entryd/pkg/entry/entry_test.go
@@ -29,7 +29,9 @@
 
 // handler responds with the request's body and returns the given result.
 type handler struct {
-	result  flow.Result
+	result flow.Result
+	// head is the head of its responses if it is not nil.
+	head    *flow.Head
 	req     *flow.Request
 	imports int
 }
@@ -43,7 +45,11 @@
 	if err != nil {
 		return flow.Aborted{Reason: err.Error()}
 	}
-	_ = sink.Head(flow.Head{Status: http.StatusOK, Size: int64(len(body)), Load: &flow.Load{Free: 3, Slots: 4}})
+	head := flow.Head{Status: http.StatusOK, Size: int64(len(body)), Load: &flow.Load{Free: 3, Slots: 4}}
+	if h.head != nil {
+		head = *h.head
+	}
+	_ = sink.Head(head)
 	_ = sink.Data(body)
 	return h.result
 }
@@ -88,6 +94,21 @@
 	return &flow.Request{ID: "id", Method: "POST", Path: "/", Source: "near", Body: body, Deadline: time.Now().Add(10 * time.Second)}
 }
 
+// TestHeads guards against the head of a backend server's response that is none and that a peer of an earlier version passes on.
+func TestHeads(t *testing.T) {
+	for name, head := range map[string]flow.Head{
+		"status 000":        {Status: 0},
+		"a blank in a name": {Status: http.StatusOK, Header: http.Header{"X Y": {"z"}}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c, m, _ := setUp(t, &handler{result: flow.Complete{}, head: &head})
+			res := c.Serve(t.Context(), m, request(flow.BytesBody(nil)), peerpb.Stage_STAGE_OWNER, &sink{})
+			aborted, ok := res.(flow.Aborted)
+			assert.Assert(t, ok && !aborted.HeadSent, "%#v", res)
+		})
+	}
+}
+
 func TestServe(t *testing.T) {
 	big := bytes.Repeat([]byte("x"), 3<<20)
 	bodies := map[string]func() *flow.Body{
--- a/lib/pkg/object/object_test.go
+++ b/lib/pkg/object/object_test.go
@@ -44,6 +44,7 @@
 	for name, text := range map[string]string{
 		"status 000": "HTTP/1.1 000 OK\r\n" + listing,
 		"status 001": "HTTP/1.1 001 OK\r\n" + listing,
+		"a blank":    "HTTP/1.1 200 OK\r\nX Y: z\r\n" + listing,
 		"status 101": "HTTP/1.1 101 Switching Protocols\r\n" + listing,
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/lib/pkg/reply/head.go
+++ b/lib/pkg/reply/head.go
@@ -4,6 +4,8 @@
 	"net/http"
 	"strconv"
 
+	"golang.org/x/net/http/httpguts"
+
 	"rosemarygrade.dev/lib/pkg/fault"
 )
 
@@ -16,11 +18,19 @@
 // Error is the error type of the package.
 type Error = fault.Error[Kind]
 
-// CheckStatus returns an error for a status that is none of a response to a request of this system, which never asks to switch protocols.
-// net/http accepts any three characters that are a number, such as 000 and -00.
-func CheckStatus(status int) error {
+// CheckHead returns an error for the head of a response, final or interim, that is none in the protocol but that net/http accepts:
+//   - a status below 100, as it takes any three characters that are a number, such as 000 and -00; or 101, since no request of this system
+//     asks to switch protocols,
+//   - a name of a field with a blank. net/http keeps such a field apart from the one that was meant, so a body would end elsewhere than by
+//     Content-Length or Transfer-Encoding.
+func CheckHead(status int, header map[string][]string) error {
 	if status < http.StatusContinue || status == http.StatusSwitchingProtocols {
 		return fault.New("read head", KindInvalid, "status "+strconv.Itoa(status))
 	}
+	for name := range header {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return fault.New("read head", KindInvalid, "name of a field "+strconv.Quote(name))
+		}
+	}
 	return nil
 }
--- a/lib/pkg/reply/transport.go
+++ b/lib/pkg/reply/transport.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"net/textproto"
 )
 
 // Transport is an http.RoundTripper that sends requests over http.Transport and fails where the response is none in the protocol. It is
@@ -31,12 +32,15 @@
 // RoundTrip implements http.RoundTripper.
 func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
 	var conn net.Conn
-	ctx := httptrace.WithClientTrace(r.Context(), &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) { conn = i.Conn }})
+	ctx := httptrace.WithClientTrace(r.Context(), &httptrace.ClientTrace{
+		GotConn:        func(i httptrace.GotConnInfo) { conn = i.Conn },
+		Got1xxResponse: func(code int, header textproto.MIMEHeader) error { return CheckHead(code, header) },
+	})
 	resp, err := t.base.RoundTrip(r.WithContext(ctx))
 	if err != nil {
 		return nil, err
 	}
-	if err := CheckStatus(resp.StatusCode); err != nil {
+	if err := CheckHead(resp.StatusCode, resp.Header); err != nil {
 		_ = resp.Body.Close()
 		// A response without a body has left its connection for reuse, and what follows on it belongs to no request.
 		_ = conn.Close()
--- a/soak/pkg/runner/faults.go
+++ b/soak/pkg/runner/faults.go
@@ -32,7 +32,7 @@
 	responseFaults := []fake.Fault{
 		fake.FaultNoResponse, fake.FaultTruncated, fake.FaultMalformed, fake.FaultExtra, fake.FaultShed, fake.FaultError,
 		fake.FaultLate, fake.FaultReset, fake.FaultEndlessHead, fake.FaultEndlessInterim, fake.FaultEndlessChunk, fake.FaultDrip,
-		fake.FaultStatus,
+		fake.FaultStatus, fake.FaultFieldName,
 	}
 	list := make([]injectedFault, 0, faultTableSize)
 	list = append(list, []injectedFault{
