reply: refuse folded lines in the heads of responses

Callers got the bytes up to the end of the connection as the body, or waited until the deadline.

Cause: net/http still reads such lines as obsolete line folding. RFC 9112, section 5.2, lets a proxy refuse them instead.

reply.Conn scans each head as it is read; what it has parsed no longer shows the fold. The pool of edged announces each head, with the bytes that it has read ahead; reply.Transport announces one for each request. Blanks in bodies are not looked at.

--- a/edged/pkg/conns/conns.go
+++ b/edged/pkg/conns/conns.go
@@ -221,18 +221,35 @@
 	return append(b, "\r\n"...)
 }
 
+// awaitHead waits for the first byte of a response's head. First means that no response was read in the present use of the connection.
+func (c *conn) awaitHead(first bool) error {
+	buffered, err := c.reader.Peek(c.reader.Buffered())
+	if err == nil {
+		c.head.start(len(buffered))
+		err = c.ExpectHead(buffered)
+	}
+	if err == nil {
+		_, err = c.reader.Peek(1)
+	}
+	switch {
+	case err == nil:
+		return nil
+	case fault.KindOf[reply.Kind](err) == reply.KindInvalid:
+		return fault.Wrap("read head", KindBroken, err)
+	case first && c.idleFor > 0 && errors.Is(err, syscall.ECONNRESET):
+		return fault.Wrap("await response", KindIdleClosed, err)
+	default:
+		return fault.Wrap("await response", KindLost, err)
+	}
+}
+
 // receive reads the head of the response to req. Late responses to other requests are skipped; one that does not name its
 // request is only accepted for the first request of a connection.
 func (p *Pool) receive(c *conn, req *Request) (*http.Response, error) {
 	httpReq := &http.Request{Method: req.Method}
 	for foreign := 0; foreign <= maxForeignResponses; {
-		c.head.start(c.reader.Buffered())
-		if _, err := c.reader.Peek(1); err != nil {
-			kind := KindLost
-			if c.idleFor > 0 && foreign == 0 && errors.Is(err, syscall.ECONNRESET) {
-				kind = KindIdleClosed
-			}
-			return nil, fault.Wrap("await response", kind, err)
+		if err := c.awaitHead(foreign == 0); err != nil {
+			return nil, err
 		}
 		resp, err := readHead(c.reader, httpReq)
 		if err != nil {
--- a/edged/pkg/conns/head_test.go
+++ b/edged/pkg/conns/head_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -72,3 +73,42 @@
 		})
 	}
 }
+
+// TestFoldedLines guards against a line of a head that begins with a blank: net/http joins it to the value of the line before, so that what it
+// says of the body does not count.
+func TestFoldedLines(t *testing.T) {
+	for _, blank := range []string{" ", "\t"} {
+		for name, line := range map[string]string{"a field": "X-Y: z", "a length": "Content-Length: 1", "an encoding": "Transfer-Encoding: chunked", "nothing": ""} {
+			folded := "X: y\r\n" + blank + line + "\r\n"
+			t.Run(fmt.Sprintf("%s after %q", name, blank), func(t *testing.T) {
+				assertHeadRefused(t, "HTTP/1.1 200 OK\r\nX-Id: a\r\n"+folded+"\r\n2\r\nok\r\n0\r\n\r\n")
+			})
+			t.Run(fmt.Sprintf("%s after %q, in an interim response", name, blank), func(t *testing.T) {
+				assertHeadRefused(t, "HTTP/1.1 103 Early Hints\r\n"+folded+"\r\nHTTP/1.1 200 OK\r\nX-Id: a\r\nContent-Length: 2\r\n\r\nok")
+			})
+			t.Run(fmt.Sprintf("%s after %q, after a response to another request", name, blank), func(t *testing.T) {
+				other := "HTTP/1.1 200 OK\r\nX-Id: b\r\nContent-Length: 4\r\n\r\n\n  \n"
+				assertHeadRefused(t, other+"HTTP/1.1 200 OK\r\nX-Id: a\r\n"+folded+"Content-Length: 2\r\n\r\nok")
+			})
+		}
+	}
+	t.Run("blanks in a body are no fault", func(t *testing.T) {
+		const body = "\r\n x\n\ty\r\n\r\n z"
+		text := fmt.Sprintf("HTTP/1.1 103 Early Hints\r\nX: y\r\n\r\nHTTP/1.1 200 OK\r\nX-Id: a\r\nX:  y\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+		for cut := range len(text) {
+			address := server(t, func(c net.Conn, _ *http.Request, _ int) bool {
+				_, _ = io.WriteString(c, text[:cut])
+				time.Sleep(time.Millisecond)
+				_, err := io.WriteString(c, text[cut:])
+				return err == nil
+			})
+			p := NewPool(Dialer(), echo)
+			for range 2 {
+				got, err := send(t, p, address, "a")
+				assert.NilError(t, err, "cut after %q", text[:cut])
+				assert.Equal(t, string(got.Body()), body)
+			}
+			assert.Equal(t, p.Opened(), uint64(1))
+		}
+	})
+}
--- a/lib/pkg/reply/conn.go
+++ b/lib/pkg/reply/conn.go
@@ -12,13 +12,18 @@
 )
 
 // Conn is a client's connection on which a response without a length ends only where the peer ended it. The kernel reports the failure
-// of a connection once: if a write of the request gets it, a read sees an ordinary end. Conn returns the failure to both.
+// of a connection once: if a write of the request gets it, a read sees an ordinary end. Conn returns the failure to both. It also refuses
+// folded lines in heads, which a client can't see in what net/http has parsed.
 type Conn struct {
 	net.Conn
 
 	// writing is held during a write. It protects failure, the first failure that a write met.
 	writing sync.Mutex
 	failure error
+
+	// scanning protects folds.
+	scanning sync.Mutex
+	folds    foldScan
 }
 
 // NewConn returns a Conn on a connection.
@@ -53,9 +58,26 @@
 	}
 }
 
+// ExpectHead announces that the head of a response comes next, after what was already read of it. It returns an error if that has a folded line.
+func (c *Conn) ExpectHead(read []byte) error {
+	c.scanning.Lock()
+	defer c.scanning.Unlock()
+	c.folds.begin()
+	return c.folds.scan(read)
+}
+
+func (c *Conn) scan(p []byte) error {
+	c.scanning.Lock()
+	defer c.scanning.Unlock()
+	return c.folds.scan(p)
+}
+
 // Read implements net.Conn. At the end of what the peer sent, it also ends a write in progress: no response can follow.
 func (c *Conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
+	if folded := c.scan(p[:n]); folded != nil {
+		return 0, folded
+	}
 	if !errors.Is(err, io.EOF) {
 		return n, err
 	}
--- /dev/null
+++ b/lib/pkg/reply/fold.go
@@ -0,0 +1,50 @@
+package reply
+
+import "rosemarygrade.dev/lib/pkg/fault"
+
+// foldScan looks for lines of a head that begin with a blank (RFC 9112, section 5.2). A proxy may refuse them or replace the line break. They
+// are refused: net/http only joins them to the value of the line before, where a length or an encoding does not count.
+type foldScan struct {
+	inHead bool
+	// line counts the lines of the head, column the bytes of the present one, without carriage returns.
+	line, column int
+	interim      bool
+}
+
+// statusColumn is the position of the first digit of a status in "HTTP/1.1 200 OK".
+const statusColumn = len("HTTP/1.1 ")
+
+// begin starts a head.
+func (s *foldScan) begin() { *s = foldScan{inHead: true} }
+
+// scan reads the next bytes up to the end of the final head, which follows the interim ones.
+func (s *foldScan) scan(p []byte) error {
+	for _, b := range p {
+		switch {
+		case !s.inHead:
+			return nil
+		case b == '\n':
+			s.endLine()
+		case b == '\r':
+		case s.column == 0 && s.line > 0 && (b == ' ' || b == '\t'):
+			return fault.New("read head", KindInvalid, "a line that begins with a blank")
+		default:
+			if s.line == 0 && s.column == statusColumn {
+				s.interim = b == '1'
+			}
+			s.column++
+		}
+	}
+	return nil
+}
+
+func (s *foldScan) endLine() {
+	switch {
+	case s.column > 0:
+		s.line, s.column = s.line+1, 0
+	case s.interim:
+		s.begin()
+	default:
+		s.inHead = false
+	}
+}
--- a/lib/pkg/reply/transport.go
+++ b/lib/pkg/reply/transport.go
@@ -33,7 +33,13 @@
 func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
 	var conn net.Conn
 	ctx := httptrace.WithClientTrace(r.Context(), &httptrace.ClientTrace{
-		GotConn:        func(i httptrace.GotConnInfo) { conn = i.Conn },
+		GotConn: func(i httptrace.GotConnInfo) {
+			conn = i.Conn
+			if c, ok := conn.(*Conn); ok {
+				// Nothing of the response has been read: http.Transport closes connections that send something while they are idle.
+				_ = c.ExpectHead(nil)
+			}
+		},
 		Got1xxResponse: func(code int, header textproto.MIMEHeader) error { return CheckHead(code, header) },
 	})
 	resp, err := t.base.RoundTrip(r.WithContext(ctx))
