reply: bound the fields of a head, and charge long heads to requests

A faulty backend server sent heads that never end. edged bounded a head at 64 KB, but kept far more than that of each: a head of short lines with distinct names takes about 0.9 MB once it is parsed, beside the account for the memory of requests. With a crowd of 100 requests whose heads stop short of the limit, a process of 96 MB reached 117 MB: on a host it ends, and with it the requests of all other callers.

Cause: a bound on bytes only, and memory that no account knew of.

reply.Conn now refuses a head of more than 256 fields, in edged, entryd and the clients that use reply.Transport.

--- a/edged/pkg/conns/conns.go
+++ b/edged/pkg/conns/conns.go
@@ -221,11 +221,12 @@
 	return append(b, "\r\n"...)
 }
 
-// awaitHead waits for the first byte of a response's head. First means that no response was read in the present use of the connection.
-func (c *conn) awaitHead(first bool) error {
+// awaitHead waits for the first byte of a response's head, and charges the head to a request. First means that no response was read in the present
+// use of the connection.
+func (c *conn) awaitHead(charged *memory.Buffer, first bool) error {
 	buffered, err := c.reader.Peek(c.reader.Buffered())
 	if err == nil {
-		c.head.start(len(buffered))
+		c.head.start(len(buffered), charged)
 		err = c.ExpectHead(buffered)
 	}
 	if err == nil {
@@ -248,7 +249,7 @@
 func (p *Pool) receive(c *conn, req *Request) (*http.Response, error) {
 	httpReq := &http.Request{Method: req.Method}
 	for foreign := 0; foreign <= maxForeignResponses; {
-		if err := c.awaitHead(foreign == 0); err != nil {
+		if err := c.awaitHead(req.Body, foreign == 0); err != nil {
 			return nil, err
 		}
 		resp, err := readHead(c.reader, httpReq)
--- a/edged/pkg/conns/endless_test.go
+++ b/edged/pkg/conns/endless_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -12,6 +13,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"rosemarygrade.dev/edged/pkg/memory"
 	"rosemarygrade.dev/lib/pkg/fault"
 )
 
@@ -68,6 +70,61 @@
 	assert.Equal(t, fault.KindOf[Kind](err), KindBroken)
 }
 
+// TestManyFields sends a head with as many fields as fit into the bytes that a head may have: once parsed, each takes far more than its bytes.
+func TestManyFields(t *testing.T) {
+	head := func(fields int) string {
+		var b strings.Builder
+		for i := range fields {
+			_, _ = fmt.Fprintf(&b, "%04x:\r\n", i)
+		}
+		return "HTTP/1.1 200 OK\r\nX-Id: a\r\n" + b.String() + "Content-Length: 2\r\n\r\nok"
+	}
+	t.Run("too many", func(t *testing.T) { assertHeadRefused(t, head(8000)) })
+	t.Run("many", func(t *testing.T) {
+		resp, err := send(t, NewPool(Dialer(), echo), server(t, respond(head(200))), "a")
+		assert.NilError(t, err)
+		assert.Equal(t, string(resp.Body()), "ok")
+	})
+	t.Run("in the body", func(t *testing.T) {
+		const lines = 3 * readBufferBytes
+		text := fmt.Sprintf("HTTP/1.1 200 OK\r\nX-Id: a\r\nContent-Length: %d\r\n\r\n%s", lines, strings.Repeat("\n", lines))
+		resp, err := send(t, NewPool(Dialer(), echo), server(t, respond(text)), "a")
+		assert.NilError(t, err)
+		assert.Equal(t, len(resp.Body()), lines)
+	})
+}
+
+// TestHeadWithoutRoom guards against the memory for long heads where a process has no room: a crowd of requests can wait for their ends.
+func TestHeadWithoutRoom(t *testing.T) {
+	const long = 10 * readBufferBytes
+	for _, row := range []struct {
+		name   string
+		full   bool
+		filler int
+		kind   Kind
+	}{
+		{"a long head, no room", true, long, KindBroken},
+		{"a short head, no room", true, 0, ""},
+		{"a long head, room", false, long, ""},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			account := memory.New(memory.NewLimits(1))
+			body, err := account.Body(time.Now(), "a")
+			assert.NilError(t, err)
+			others, err := account.Body(time.Now(), "others")
+			assert.NilError(t, err)
+			for row.full && others.Reserve(1<<10) {
+			}
+			address := server(t, respond("HTTP/1.1 200 OK\r\nX-Id: a\r\nX-Filler: "+strings.Repeat("x", row.filler)+"\r\nContent-Length: 2\r\n\r\nok"))
+			_, err = NewPool(Dialer(), echo).Send(t.Context(), "t", address, &Request{ID: "a", Method: http.MethodGet, URI: "/", Host: "h", Body: body})
+			assertKind(t, err, row.kind)
+			body.Release()
+			others.Release()
+			assert.Equal(t, account.Held(), int64(0))
+		})
+	}
+}
+
 // TestSlowHead sends one byte of a head at a time: the send must end at the request's deadline.
 func TestSlowHead(t *testing.T) {
 	const deadline = 300 * time.Millisecond
--- a/lib/pkg/reply/conn.go
+++ b/lib/pkg/reply/conn.go
@@ -13,7 +13,7 @@
 
 // Conn is a client's connection on which a response without a length ends only where the peer ended it. The kernel reports the failure
 // of a connection once: if a write of the request gets it, a read sees an ordinary end. Conn returns the failure to both. It also refuses
-// folded lines in heads, which a client can't see in what net/http has parsed.
+// heads with folded lines, which a client can't see in what net/http has parsed, and with too many fields.
 type Conn struct {
 	net.Conn
 
@@ -21,9 +21,9 @@
 	writing sync.Mutex
 	failure error
 
-	// scanning protects folds.
+	// scanning protects head.
 	scanning sync.Mutex
-	folds    foldScan
+	head     headScan
 }
 
 // NewConn returns a Conn on a connection.
@@ -58,25 +58,25 @@
 	}
 }
 
-// ExpectHead announces that the head of a response comes next, after what was already read of it. It returns an error if that has a folded line.
+// ExpectHead announces that the head of a response comes next, after what was already read of it. It returns an error if that is refused.
 func (c *Conn) ExpectHead(read []byte) error {
 	c.scanning.Lock()
 	defer c.scanning.Unlock()
-	c.folds.begin()
-	return c.folds.scan(read)
+	c.head.begin()
+	return c.head.scan(read)
 }
 
 func (c *Conn) scan(p []byte) error {
 	c.scanning.Lock()
 	defer c.scanning.Unlock()
-	return c.folds.scan(p)
+	return c.head.scan(p)
 }
 
 // Read implements net.Conn. At the end of what the peer sent, it also ends a write in progress: no response can follow.
 func (c *Conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	if folded := c.scan(p[:n]); folded != nil {
-		return 0, folded
+	if refused := c.scan(p[:n]); refused != nil {
+		return 0, refused
 	}
 	if !errors.Is(err, io.EOF) {
 		return n, err
--- a/lib/pkg/reply/fold.go
+++ b/lib/pkg/reply/scan.go
@@ -2,9 +2,13 @@
 
 import "rosemarygrade.dev/lib/pkg/fault"
 
-// foldScan looks for lines of a head that begin with a blank (RFC 9112, section 5.2). A proxy may refuse them or replace the line break. They
-// are refused: net/http only joins them to the value of the line before, where a length or an encoding does not count.
-type foldScan struct {
+// maxFields is how many fields a head may have. Each takes far more memory than its bytes once it is parsed.
+const maxFields = 256
+
+// headScan looks at the lines of a head as it is read. It refuses those that begin with a blank (RFC 9112, section 5.2): a proxy may refuse them or
+// replace the line break, but net/http only joins them to the value of the line before, where a length or an encoding does not count.
+// It also bounds the number of lines.
+type headScan struct {
 	inHead bool
 	// line counts the lines of the head, column the bytes of the present one, without carriage returns.
 	line, column int
@@ -15,16 +19,19 @@
 const statusColumn = len("HTTP/1.1 ")
 
 // begin starts a head.
-func (s *foldScan) begin() { *s = foldScan{inHead: true} }
+func (s *headScan) begin() { *s = headScan{inHead: true} }
 
 // scan reads the next bytes up to the end of the final head, which follows the interim ones.
-func (s *foldScan) scan(p []byte) error {
+func (s *headScan) scan(p []byte) error {
 	for _, b := range p {
 		switch {
 		case !s.inHead:
 			return nil
 		case b == '\n':
 			s.endLine()
+			if s.line > maxFields+1 {
+				return fault.New("read head", KindInvalid, "too many fields")
+			}
 		case b == '\r':
 		case s.column == 0 && s.line > 0 && (b == ' ' || b == '\t'):
 			return fault.New("read head", KindInvalid, "a line that begins with a blank")
@@ -38,7 +45,7 @@
 	return nil
 }
 
-func (s *foldScan) endLine() {
+func (s *headScan) endLine() {
 	switch {
 	case s.column > 0:
 		s.line, s.column = s.line+1, 0
--- a/lib/pkg/reply/transport.go
+++ b/lib/pkg/reply/transport.go
@@ -6,6 +6,15 @@
 	"net/http"
 	"net/http/httptrace"
 	"net/textproto"
+
+	"rosemarygrade.dev/lib/pkg/fault"
+)
+
+const (
+	// maxHeadBytes is the size of a head unless the settings of a Transport have another.
+	maxHeadBytes = 64 << 10
+	// maxInterim is how many interim responses may precede a response: a backend server may send one now and then while it works.
+	maxInterim = 1000
 )
 
 // Transport is an http.RoundTripper that sends requests over http.Transport and fails where the response is none in the protocol. It is
@@ -15,6 +24,9 @@
 // NewTransport returns a Transport with the settings of base, whose connections are each a Conn.
 func NewTransport(base *http.Transport) *Transport {
 	out := base.Clone()
+	if out.MaxResponseHeaderBytes == 0 {
+		out.MaxResponseHeaderBytes = maxHeadBytes
+	}
 	dial := out.DialContext
 	if dial == nil {
 		dial = new(net.Dialer).DialContext
@@ -31,7 +43,10 @@
 
 // RoundTrip implements http.RoundTripper.
 func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
-	var conn net.Conn
+	var (
+		conn    net.Conn
+		interim int
+	)
 	ctx := httptrace.WithClientTrace(r.Context(), &httptrace.ClientTrace{
 		GotConn: func(i httptrace.GotConnInfo) {
 			conn = i.Conn
@@ -40,7 +55,13 @@
 				_ = c.ExpectHead(nil)
 			}
 		},
-		Got1xxResponse: func(code int, header textproto.MIMEHeader) error { return CheckHead(code, header) },
+		Got1xxResponse: func(code int, header textproto.MIMEHeader) error {
+			// http.Transport leaves it to this function to end interim responses without end.
+			if interim++; interim > maxInterim {
+				return fault.New("read head", KindInvalid, "too many interim responses")
+			}
+			return CheckHead(code, header)
+		},
 	})
 	resp, err := t.base.RoundTrip(r.WithContext(ctx))
 	if err != nil {
