--- a/edged/cmds/endless_test.go
+++ b/edged/cmds/endless_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -190,3 +191,75 @@
 		check(row, false)
 	}
 }
+
+// faultyStore is a store that can respond to all calls with text without end instead.
+type faultyStore struct {
+	store *fake.Store
+	row   atomic.Pointer[endlessRow]
+	sent  atomic.Int64
+}
+
+// ServeHTTP implements http.Handler.
+func (s *faultyStore) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	row := s.row.Load()
+	if row == nil {
+		s.store.ServeHTTP(w, r)
+		return
+	}
+	hijacker, ok := w.(http.Hijacker)
+	if !ok {
+		panic(http.ErrAbortHandler)
+	}
+	c, _, err := hijacker.Hijack()
+	if err != nil {
+		return
+	}
+	defer func() { _ = c.Close() }()
+	block := strings.Repeat(row.repeat, max(1, floodBlockBytes/len(row.repeat)))
+	n, err := io.WriteString(c, row.begin(""))
+	for ; err == nil && s.row.Load() == row; n, err = io.WriteString(c, block) {
+		s.sent.Add(int64(n))
+	}
+}
+
+// TestEndlessStore guards against the memory for bytes without end that the store sends: the process must live, stay within its memory, serve
+// requests meanwhile, and follow the store again afterwards.
+func TestEndlessStore(t *testing.T) {
+	const (
+		ok   = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n\r\n"
+		item = `{"metadata":{"name":"i-a1","revision":9},"spec":{"service":"alpha"}},`
+	)
+	fixed := func(text string) func(string) string { return func(string) string { return text } }
+	for _, row := range []endlessRow{
+		{name: "a body that is no JSON", begin: fixed(ok), repeat: "x"},
+		{name: "a list", begin: fixed(ok + `{"current_rev":9,"has_more":false,"items":[`), repeat: item},
+		{name: "changes", begin: fixed(ok + `{"current_rev":9,"events":[`), repeat: `{"deleted":false,"object":` + strings.TrimSuffix(item, ",") + "},"},
+		{name: "nested lists", begin: fixed(ok + `{"current_rev":9,"items":`), repeat: "["},
+		{name: "a name", begin: fixed(ok + `{"current_rev":9,"items":[{"metadata":{"name":"`), repeat: "x"},
+		{name: "header lines", begin: fixed("HTTP/1.1 200 OK\r\n"), repeat: "a:\r\n"},
+		{name: "a header line", begin: fixed("HTTP/1.1 200 OK\r\nX-Filler: "), repeat: "x"},
+		{name: "interim responses", begin: fixed(""), repeat: "HTTP/1.1 103 Early Hints\r\n\r\n"},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			fleet := newFleet(t)
+			store := &faultyStore{store: fleet.store}
+			server := httptest.NewServer(store)
+			t.Cleanup(server.Close)
+			t.Cleanup(func() { store.row.Store(nil) })
+			fleet.storeAddress = server.Listener.Addr().String()
+			f := startFlood(t, fleet, floodMemory, floodBodyBytes)
+			store.row.Store(&row)
+			server.CloseClientConnections()
+			time.Sleep(2 * endlessTime)
+			t.Logf("%d bytes", store.sent.Load())
+			f.check()
+			store.row.Store(nil)
+			f.store.Set(fake.KindConfig, fake.NameConfig, fake.Config(3, fake.Route{Prefix: "/write/", Service: "alpha", Timeout: 30},
+				fake.Route{Prefix: "/later/", Service: "alpha", Timeout: 30}))
+			f.eventually("the process follows the store again", func() bool {
+				return f.call(f.host, http.MethodGet, "/later/x", "", "later").status == http.StatusOK
+			})
+			f.check()
+		})
+	}
+}
--- a/edged/cmds/flood_test.go
+++ b/edged/cmds/flood_test.go
@@ -59,10 +59,16 @@
 	return newFloodWith(t, floodMemory, floodBodyBytes)
 }
 
-// newFloodWith builds edged, starts a process with a limit of its memory and one of bodies, and waits until it serves.
+// newFloodWith is newFlood with another limit of the process's memory and one of bodies.
 func newFloodWith(t *testing.T, megabytes, bodyBytes int) *flood {
 	t.Helper()
-	f := &flood{fleet: newFleet(t), exited: make(chan struct{})}
+	return startFlood(t, newFleet(t), megabytes, bodyBytes)
+}
+
+// startFlood builds edged, starts a process on a fleet with a limit of its memory and one of bodies, and waits until it serves.
+func startFlood(t *testing.T, fleet *fleet, megabytes, bodyBytes int) *flood {
+	t.Helper()
+	f := &flood{fleet: fleet, exited: make(chan struct{})}
 	config := fake.Config(1, fake.Route{Prefix: "/read/", Idempotent: true, Service: "alpha", Timeout: 30},
 		fake.Route{Prefix: "/write/", Service: "alpha", Timeout: 30})
 	limited := strings.Replace(config, `"max_body_bytes":1048576`, fmt.Sprintf(`"max_body_bytes":%d`, bodyBytes), 1)
--- a/edged/pkg/gossip/fuzz_test.go
+++ b/edged/pkg/gossip/fuzz_test.go
@@ -47,6 +47,8 @@
 		"a name without an end": append([]byte{0x9f, 0xdb, 0xff, 0xff, 0xff, 0xff}, "abc"...),
 		"a long name":           valid(func(hb *heartbeat) { hb.Name = string(make([]byte, maxNameBytes+1)) }),
 		"too many records":      valid(func(hb *heartbeat) { hb.Records = make([]record, maxReceivedRecords+1) }),
+		"nested arrays":         bytes.Repeat([]byte{0x91}, maxDatagram),
+		"nested maps":           bytes.Repeat([]byte{0x81}, maxDatagram),
 		"too many deltas":       valid(func(hb *heartbeat) { hb.Deltas = make([]delta, maxReceivedDeltas+1) }),
 	}
 }
--- a/edged/pkg/gossip/gossip.go
+++ b/edged/pkg/gossip/gossip.go
@@ -7,19 +7,16 @@
 	"math"
 	"math/rand/v2"
 	"net"
-	"net/http"
 	"net/netip"
 	"slices"
 	"sync"
 	"time"
 
-	"rosemarygrade.dev/edged/pkg/conns"
 	"rosemarygrade.dev/edged/pkg/pick"
 	"rosemarygrade.dev/edged/pkg/watch"
 	"rosemarygrade.dev/lib/pkg/fault"
 	"rosemarygrade.dev/lib/pkg/plan"
 	"rosemarygrade.dev/lib/pkg/rank"
-	"rosemarygrade.dev/lib/pkg/reply"
 )
 
 // Timeouts of the failure detection.
@@ -133,9 +130,7 @@
 	if err != nil {
 		return nil, fault.Wrap("listen", KindListen, err)
 	}
-	dialer := conns.Dialer()
-	client := &http.Client{Transport: reply.NewTransport(&http.Transport{DialContext: dialer.DialContext, IdleConnTimeout: pullIdleTimeout})}
-	m := newMembership(now, self, state, table, log, &sockets{conn: conn, client: client})
+	m := newMembership(now, self, state, table, log, newSockets(conn))
 	m.conn = conn
 	return m, nil
 }
--- a/edged/pkg/gossip/pull.go
+++ b/edged/pkg/gossip/pull.go
@@ -25,7 +25,8 @@
 	// minCompressBytes is the size from which a response is compressed: for a smaller one, compression costs more than
 	// it saves.
 	minCompressBytes = 32 << 10
-	maxPullBytes     = 64 << 20
+	// maxPullBytes has room for 20,000 backend servers, uncompressed.
+	maxPullBytes = 8 << 20
 	// maxCacheAge is how long a response is used for further pulls. It holds durations, which count from its encoding.
 	maxCacheAge = 100 * time.Millisecond
 	// PathState is the HTTP path at which a host serves its resources to peers.
--- a/edged/pkg/gossip/socket.go
+++ b/edged/pkg/gossip/socket.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"io"
 	"net"
 	"net/http"
 	"net/netip"
@@ -11,8 +10,10 @@
 	"strconv"
 	"time"
 
+	"rosemarygrade.dev/edged/pkg/conns"
 	"rosemarygrade.dev/lib/pkg/fault"
 	"rosemarygrade.dev/lib/pkg/plan"
+	"rosemarygrade.dev/lib/pkg/reply"
 )
 
 // sockets is the network of a process: UDP for datagrams, HTTP for pulls.
@@ -21,6 +22,12 @@
 	client *http.Client
 }
 
+func newSockets(conn *net.UDPConn) *sockets {
+	dialer := conns.Dialer()
+	transport := reply.NewTransport(&http.Transport{DialContext: dialer.DialContext, IdleConnTimeout: pullIdleTimeout})
+	return &sockets{conn: conn, client: &http.Client{Transport: transport}}
+}
+
 func (s *sockets) send(to netip.AddrPort, data []byte) error {
 	_, err := s.conn.WriteToUDPAddrPort(data, to)
 	return err
@@ -47,8 +54,12 @@
 	if resp.StatusCode != http.StatusOK {
 		return nil, fault.New("pull", KindPeer, resp.Status)
 	}
+	data, err := reply.ReadBody(resp.Body, maxPullBytes)
+	if err != nil {
+		return nil, fault.Wrap("pull", KindPeer, err)
+	}
 	var out []snapshot
-	if err := json.NewDecoder(io.LimitReader(resp.Body, maxPullBytes)).Decode(&out); err != nil {
+	if err := json.Unmarshal(data, &out); err != nil {
 		return nil, fault.Wrap("pull", KindFormat, err)
 	}
 	return out, nil
--- a/lib/pkg/object/object.go
+++ b/lib/pkg/object/object.go
@@ -70,11 +70,12 @@
 
 // Limits of a client.
 const (
-	callsPerSecond   = 50
-	callsBurst       = 100
-	callTimeout      = 5 * time.Second
-	idleTimeout      = 90 * time.Second
-	maxResponseBytes = 64 << 20
+	callsPerSecond = 50
+	callsBurst     = 100
+	callTimeout    = 5 * time.Second
+	idleTimeout    = 90 * time.Second
+	// maxResponseBytes has room for 100,000 backend servers in the list of all objects.
+	maxResponseBytes = 16 << 20
 	readBackAttempts = 3
 	readBackDelay    = 200 * time.Millisecond
 )
@@ -198,7 +199,7 @@
 		return fault.Wrap(op, KindUnavailable, err)
 	}
 	defer func() { _ = resp.Body.Close() }()
-	data, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes))
+	data, err := reply.ReadBody(resp.Body, maxResponseBytes)
 	if err != nil {
 		return fault.Wrap(op, KindUnavailable, err)
 	}
--- a/lib/pkg/object/object_test.go
+++ b/lib/pkg/object/object_test.go
@@ -2,9 +2,10 @@
 
 import (
 	"bufio"
-	"io"
 	"net"
 	"net/http"
+	"runtime"
+	"strings"
 	"testing"
 	"time"
 
@@ -20,6 +21,7 @@
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	t.Cleanup(func() { _ = l.Close() })
+	response := []byte(text)
 	go func() {
 		for {
 			c, err := l.Accept()
@@ -29,7 +31,7 @@
 			go func() {
 				defer func() { _ = c.Close() }()
 				if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
-					_, _ = io.WriteString(c, text)
+					_, _ = c.Write(response)
 				}
 			}()
 		}
@@ -39,6 +41,20 @@
 
 const listing = "Connection: close\r\n\r\n" + `{"revision":7,"objects":[]}`
 
+// TestEndlessBody guards against the memory for a body without end.
+func TestEndlessBody(t *testing.T) {
+	const maxAllocated = 128 << 20
+	body := `{"revision":7,"objects":[` + strings.Repeat(`{"kind":"drain","name":"a"},`, 6<<20)
+	c := newClient(t, "HTTP/1.1 200 OK\r\n\r\n"+body)
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	_, err := c.List(t.Context())
+	runtime.ReadMemStats(&after)
+	assert.Equal(t, fault.KindOf[object.Kind](err), object.KindUnavailable, "%v", err)
+	used := after.TotalAlloc - before.TotalAlloc
+	assert.Assert(t, used < maxAllocated, "%d bytes allocated", used)
+}
+
 // TestHeads guards against heads that are none of a response and count as a success.
 func TestHeads(t *testing.T) {
 	for name, text := range map[string]string{
--- a/lib/pkg/reply/head.go
+++ b/lib/pkg/reply/head.go
@@ -12,8 +12,13 @@
 // Kind is the kind of an error of the package.
 type Kind string
 
-// KindInvalid means that a response is none in the protocol.
-const KindInvalid Kind = "invalid"
+// Kinds of errors.
+const (
+	// KindInvalid means that a response is none in the protocol.
+	KindInvalid Kind = "invalid"
+	// KindTooLong means that a body is longer than its reader accepts.
+	KindTooLong Kind = "tooLong"
+)
 
 // Error is the error type of the package.
 type Error = fault.Error[Kind]
--- a/rosectl/cmds/read.go
+++ b/rosectl/cmds/read.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"net/url"
 	"slices"
@@ -219,7 +218,7 @@
 	// pathState is the path of the state dump.
 	pathState    = "/debug/state"
 	fetchTimeout = 5 * time.Second
-	// maxBodyBytes limits how much of a response body is read; the rest is dropped.
+	// maxBodyBytes is the longest response body that is read; a longer one is an error.
 	maxBodyBytes = 64 << 20
 )
 
@@ -238,6 +237,6 @@
 		return 0, nil, fmt.Errorf("%s: %w: %w", address, errNoResponse, err)
 	}
 	defer func() { _ = resp.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBodyBytes))
+	body, err := reply.ReadBody(resp.Body, maxBodyBytes)
 	return resp.StatusCode, body, err
 }
