parts: read the objects of a list one by one

Another writer left one entry among those of the backend servers that was nested more than 10,000 deep. Every host that read the list or the watch from then on stopped following it: releases, leaving backend servers and new ones passed it by until the entry was gone. No process ended. steerd and rosectl failed the same way on the list of all objects.

Cause: package json refuses a text as a whole where any part of it is nested too deeply or is no JSON, so the list failed with one entry.

The object API's client gives an object with such a spec one of no kind: its version counts as invalid, and the active one stays.

--- a/lib/pkg/object/object.go
+++ b/lib/pkg/object/object.go
@@ -100,23 +100,26 @@
 
 // List implements Client.
 func (c *HTTP) List(ctx context.Context) (Listing, error) {
-	var l Listing
-	err := c.call(ctx, callTimeout, http.MethodGet, "/objects", nil, &l)
-	return l, err
+	return c.list(ctx, callTimeout, "/objects")
 }
 
 // Watch implements Client.
 func (c *HTTP) Watch(ctx context.Context, since uint64, wait time.Duration) (Listing, error) {
-	var l Listing
-	path := fmt.Sprintf("/watch?since=%d&waitMillis=%d", since, wait.Milliseconds())
-	err := c.call(ctx, wait+callTimeout, http.MethodGet, path, nil, &l)
-	return l, err
+	return c.list(ctx, wait+callTimeout, fmt.Sprintf("/watch?since=%d&waitMillis=%d", since, wait.Milliseconds()))
+}
+
+func (c *HTTP) list(ctx context.Context, timeout time.Duration, path string) (Listing, error) {
+	data, err := c.fetch(ctx, timeout, http.MethodGet, path, nil)
+	if err != nil {
+		return Listing{}, err
+	}
+	return decodeListing(data)
 }
 
 // Get implements Client.
 func (c *HTTP) Get(ctx context.Context, kind, name string) (wire.Object, error) {
 	var o wire.Object
-	err := c.call(ctx, callTimeout, http.MethodGet, objectPath(kind, name), nil, &o)
+	err := c.call(ctx, http.MethodGet, objectPath(kind, name), nil, &o)
 	return o, err
 }
 
@@ -135,7 +138,7 @@
 func (c *HTTP) write(ctx context.Context, method string, o wire.Object, ifVersion uint64) (wire.Object, error) {
 	var out wire.Object
 	path := objectPath(o.Kind, o.Name) + "?ifVersion=" + strconv.FormatUint(ifVersion, 10)
-	err := c.call(ctx, callTimeout, method, path, o, &out)
+	err := c.call(ctx, method, path, o, &out)
 	if fault.KindOf[Kind](err) != KindUnavailable {
 		return out, err
 	}
@@ -165,13 +168,13 @@
 // PutStatus implements Client.
 func (c *HTTP) PutStatus(ctx context.Context, kind, name string, status wire.Status, ifVersion uint64) error {
 	path := fmt.Sprintf("/status/%s/%s?ifVersion=%d", url.PathEscape(kind), url.PathEscape(name), ifVersion)
-	return c.call(ctx, callTimeout, http.MethodPut, path, status, nil)
+	return c.call(ctx, http.MethodPut, path, status, nil)
 }
 
 // Hosts implements Client.
 func (c *HTTP) Hosts(ctx context.Context) (wire.HostList, error) {
 	var out wire.HostList
-	err := c.call(ctx, callTimeout, http.MethodGet, "/hosts", nil, &out)
+	err := c.call(ctx, http.MethodGet, "/hosts", nil, &out)
 	return out, err
 }
 
@@ -179,40 +182,44 @@
 	return "/objects/" + url.PathEscape(kind) + "/" + url.PathEscape(name)
 }
 
-func (c *HTTP) call(ctx context.Context, timeout time.Duration, method, path string, in, out any) error {
+// call makes a call and decodes the response into out, unless out is nil.
+func (c *HTTP) call(ctx context.Context, method, path string, in, out any) error {
+	data, err := c.fetch(ctx, callTimeout, method, path, in)
+	if err != nil || out == nil {
+		return err
+	}
+	if err := json.Unmarshal(data, out); err != nil {
+		return fault.Wrap(method+" "+path, KindUnavailable, err)
+	}
+	return nil
+}
+
+// fetch makes a call and returns the body of the response.
+func (c *HTTP) fetch(ctx context.Context, timeout time.Duration, method, path string, in any) ([]byte, error) {
 	op := method + " " + path
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	if err := c.limiter.Wait(ctx); err != nil {
-		return fault.Wrap(op, KindUnavailable, err)
+		return nil, fault.Wrap(op, KindUnavailable, err)
 	}
 	body, err := encodeBody(in)
 	if err != nil {
-		return fault.Wrap(op, KindRefused, err)
+		return nil, fault.Wrap(op, KindRefused, err)
 	}
 	req, err := http.NewRequestWithContext(ctx, method, c.base+path, body)
 	if err != nil {
-		return fault.Wrap(op, KindRefused, err)
+		return nil, fault.Wrap(op, KindRefused, err)
 	}
 	resp, err := c.client.Do(req)
 	if err != nil {
-		return fault.Wrap(op, KindUnavailable, err)
+		return nil, fault.Wrap(op, KindUnavailable, err)
 	}
 	defer func() { _ = resp.Body.Close() }()
 	data, err := reply.ReadBody(resp.Body, maxResponseBytes)
 	if err != nil {
-		return fault.Wrap(op, KindUnavailable, err)
+		return nil, fault.Wrap(op, KindUnavailable, err)
 	}
-	if err := statusError(op, resp.StatusCode, data); err != nil {
-		return err
-	}
-	if out == nil {
-		return nil
-	}
-	if err := json.Unmarshal(data, out); err != nil {
-		return fault.Wrap(op, KindUnavailable, err)
-	}
-	return nil
+	return data, statusError(op, resp.StatusCode, data)
 }
 
 func encodeBody(in any) (io.Reader, error) {
--- a/lib/pkg/object/object_test.go
+++ b/lib/pkg/object/object_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"encoding/json"
 	"net"
 	"net/http"
 	"runtime"
@@ -12,6 +13,7 @@
 	"gotest.tools/v3/assert"
 
 	"rosemarygrade.dev/lib/pkg/fault"
+	"rosemarygrade.dev/lib/pkg/model"
 	"rosemarygrade.dev/lib/pkg/object"
 )
 
@@ -77,3 +79,41 @@
 		assert.Equal(t, l.Revision, uint64(7))
 	})
 }
+
+// TestOddObjects guards against one object that can't be decoded and because of which no other is read.
+func TestOddObjects(t *testing.T) {
+	const deep = 20_000
+	nested := strings.Repeat("[", deep) + strings.Repeat("]", deep)
+	entry := func(name, fields string) string {
+		return `{"kind":"drain","name":"` + name + `","version":3,` + fields + `}`
+	}
+	good := entry("a", `"spec":{"scope":"host","name":"h"}`)
+	for name, odd := range map[string]string{
+		"a nested spec":     entry("b", `"spec":`+nested),
+		"a nested field":    entry("b", `"spec":{"scope":"host","name":`+nested+`}`),
+		"a nested status":   entry("b", `"spec":{},"status":`+nested),
+		"no JSON":           entry("b", `"spec":{"scope" x}`),
+		"too large a count": entry("b", `"spec":{},"status":{"inFlight":1e400}`),
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := newClient(t, "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n"+`{"revision":7,"objects":[`+odd+","+good+`]}`)
+			for _, call := range []func() (object.Listing, error){
+				func() (object.Listing, error) { return c.List(t.Context()) },
+				func() (object.Listing, error) { return c.Watch(t.Context(), 1, time.Millisecond) },
+			} {
+				l, err := call()
+				assert.NilError(t, err)
+				assert.Equal(t, l.Revision, uint64(7))
+				assert.Equal(t, len(l.Objects), 2)
+				assert.Equal(t, l.Objects[0].Name, "b")
+				assert.Equal(t, l.Objects[0].Version, uint64(3))
+				_, err = model.Parse(l.Objects[0].Kind, l.Objects[0].Name, l.Objects[0].Spec)
+				assert.Assert(t, err != nil, "an object that can't be read is valid")
+				_, err = json.Marshal(l)
+				assert.NilError(t, err)
+				_, err = model.Parse(l.Objects[1].Kind, l.Objects[1].Name, l.Objects[1].Spec)
+				assert.NilError(t, err)
+			}
+		})
+	}
+}
