plan: refuse entries with numbers out of range

Another writer left an entry with a number that fits its type and no use, such as slots of 2^63-1: the sums and shares of slots overflowed, and requests no longer reached the other backend servers of the service. Port 0 named a backend server that nothing can listen at. A slow start of 1e12 s overflowed to one in the past, on arm64 to one without end.

Cause: bounds on types only, and none at all on entries that another host passes on.

plan.BackendSpec.Check is the one rule: ports 1 to 65535, slots 1 to 100,000 (the bound of placements), and the fields that sends need.

--- a/edged/cmds/oddentry_test.go
+++ b/edged/cmds/oddentry_test.go
@@ -34,6 +34,8 @@
 		"a nested field that is extra": entry("note", nested("[", "]", deepest)),
 		"slots over 64 bits":           entry("slots", "99999999999999999999"),
 		"slots over every float":       entry("slots", "1e400"),
+		"most slots":                   entry("slots", "9223372036854775807"),
+		"slots beyond any server":      entry("slots", "4611686018427387904"),
 		"a start over 64 bits":         entry("born", "99999999999999999999"),
 		"a start over every float":     entry("born", "1e400"),
 		"a slow start of 1e300 s":      entry("cold_left_s", "1e300"),
--- a/edged/pkg/gossip/pull.go
+++ b/edged/pkg/gossip/pull.go
@@ -335,6 +335,21 @@
 	return out
 }
 
+// decodeBackend checks an entry by the rule of this host, as that of a peer of another version may differ.
+func decodeBackend(now time.Time, spec plan.BackendSpec, slowStartMillis int64) plan.Resource {
+	if err := spec.Check(); err != nil {
+		return plan.Unreadable{Err: err}
+	}
+	spec.SlowStartUntil = time.Time{}
+	if slowStartMillis > 0 {
+		spec.SlowStartUntil = now.Add(time.Duration(min(slowStartMillis, maxMillis)) * time.Millisecond)
+	}
+	return spec
+}
+
+// maxMillis bounds the durations in a peer's entries, whose conversion would overflow.
+const maxMillis = int64(24 * time.Hour / time.Millisecond)
+
 func decodeSnapshot(now time.Time, s snapshot) (watch.Snapshot, error) {
 	out := watch.Snapshot{Topic: s.Topic, Revision: s.Revision, Full: s.Full}
 	for _, g := range s.Gaps {
@@ -350,18 +365,13 @@
 			}
 			c.Resource = config
 		case e.Backend != nil:
-			spec := *e.Backend
-			spec.SlowStartUntil = time.Time{}
-			if e.SlowStartMillis > 0 {
-				spec.SlowStartUntil = now.Add(time.Duration(e.SlowStartMillis) * time.Millisecond)
-			}
-			c.Resource = spec
+			c.Resource = decodeBackend(now, *e.Backend, e.SlowStartMillis)
 		case e.Member != nil:
 			c.Resource = *e.Member
 		case e.Gone:
 			removed := plan.Removed{}
 			if e.HoldMillis > 0 {
-				removed.HoldUntil = now.Add(time.Duration(e.HoldMillis) * time.Millisecond)
+				removed.HoldUntil = now.Add(time.Duration(min(e.HoldMillis, maxMillis)) * time.Millisecond)
 			}
 			c.Resource = removed
 		case e.Drained:
--- a/lib/pkg/plan/view.go
+++ b/lib/pkg/plan/view.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/netip"
 	"slices"
 	"strings"
 	"time"
@@ -30,6 +31,24 @@
 	SlowStartUntil time.Time `json:"coldUntil"`
 }
 
+// maxSlots bounds the slots of a backend server: sums and shares of them must not overflow.
+const maxSlots = 100_000
+
+// Check returns an error of KindInvalid for an entry that names no backend server to use: a field that is needed to send requests there is missing
+// or out of range.
+func (s *BackendSpec) Check() error {
+	address, err := netip.ParseAddrPort(s.Address)
+	switch {
+	case s.ID == "" || s.Service == "" || s.DataCentre == "":
+		return invalid("backend server %q has no ID, service or data centre", s.ID)
+	case err != nil || address.Port() == 0:
+		return invalid("backend server %q has no address with a port: %q", s.ID, s.Address)
+	case s.Slots < 1 || s.Slots > maxSlots:
+		return invalid("backend server %q has %d slots, not 1 to %d", s.ID, s.Slots, maxSlots)
+	}
+	return nil
+}
+
 // Backend is a backend server with its region.
 type Backend struct {
 	spec   BackendSpec
