conns: charge a head for what has arrived; see folds after an interim head with two blanks

A head of ordinary size that came in many small parts was charged a whole buffer for each part beyond 4 KiB, so that it failed for want of memory (conns.TestChargeOfSlowHead, red before). net/http accepts more than one blank before a status; the scan then took an interim head for the final one (TestFoldedLines, 8 further forms red before).

--- a/_scripts/breaks.sh
+++ b/_scripts/breaks.sh
@@ -61,7 +61,7 @@
 broken lib/pkg/reply/conn.go 's/c.failure = err/_ = err/' ./entryd/pkg/server TestResetDuringUpload
 broken lib/pkg/reply/head.go 's/status < http.StatusContinue/false/' ./edged/pkg/conns TestStatuses
 broken lib/pkg/reply/head.go 's/if !httpguts.ValidHeaderFieldName(name)/if false/' ./entryd/pkg/server TestHeads
-broken lib/pkg/reply/scan.go "s/(b == ' ' || b == '.t')/false/" ./entryd/pkg/server TestHeads
+broken lib/pkg/reply/scan.go 's/case blank \&\& s.line > 0/case false/' ./entryd/pkg/server TestHeads
 broken lib/pkg/reply/scan.go 's/if s.line > maxFields+1/if false/' ./entryd/pkg/server TestManyFields
 broken lib/pkg/reply/transport.go 's/interim > maxInterim/false/' ./entryd/pkg/server TestEndlessHeads
 broken lib/pkg/reply/body.go 's/if int64(len(data)) > limit/if false/' ./lib/pkg/reply TestReadBody
--- a/edged/pkg/conns/endless_test.go
+++ b/edged/pkg/conns/endless_test.go
@@ -125,6 +125,28 @@
 	}
 }
 
+// TestChargeOfSlowHead guards against a charge for more than what arrives: a head of ordinary size can come in many small parts.
+func TestChargeOfSlowHead(t *testing.T) {
+	const parts = 200
+	account := memory.New(memory.NewLimits(1))
+	body, err := account.Body(time.Now(), "a")
+	assert.NilError(t, err)
+	before := account.Held()
+	address := server(t, func(c net.Conn, _ *http.Request, _ int) bool {
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nX-Id: a\r\nX-Filler: "+strings.Repeat("x", readBufferBytes))
+		for range parts {
+			time.Sleep(time.Millisecond)
+			_, _ = io.WriteString(c, "x")
+		}
+		_, err := io.WriteString(c, "\r\nContent-Length: 2\r\n\r\nok")
+		return err == nil
+	})
+	_, err = NewPool(Dialer(), echo).Send(t.Context(), "t", address, &Request{ID: "a", Method: http.MethodGet, URI: "/", Host: "h", Body: body})
+	assert.NilError(t, err)
+	assert.Assert(t, account.Held()-before < readBufferBytes, "%d bytes charged", account.Held()-before)
+	body.Release()
+}
+
 // TestSlowHead sends one byte of a head at a time: the send must end at the request's deadline.
 func TestSlowHead(t *testing.T) {
 	const deadline = 300 * time.Millisecond
--- a/edged/pkg/conns/head_test.go
+++ b/edged/pkg/conns/head_test.go
@@ -86,6 +86,9 @@
 			t.Run(fmt.Sprintf("%s after %q, in an interim response", name, blank), func(t *testing.T) {
 				assertHeadRefused(t, "HTTP/1.1 103 Early Hints\r\n"+folded+"\r\nHTTP/1.1 200 OK\r\nX-Id: a\r\nContent-Length: 2\r\n\r\nok")
 			})
+			t.Run(fmt.Sprintf("%s after %q, after an interim response with two blanks", name, blank), func(t *testing.T) {
+				assertHeadRefused(t, "HTTP/1.1  103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\nX-Id: a\r\n"+folded+"Content-Length: 2\r\n\r\nok")
+			})
 			t.Run(fmt.Sprintf("%s after %q, after a response to another request", name, blank), func(t *testing.T) {
 				other := "HTTP/1.1 200 OK\r\nX-Id: b\r\nContent-Length: 4\r\n\r\n\n  \n"
 				assertHeadRefused(t, other+"HTTP/1.1 200 OK\r\nX-Id: a\r\n"+folded+"Content-Length: 2\r\n\r\nok")
--- a/edged/pkg/conns/limit.go
+++ b/edged/pkg/conns/limit.go
@@ -41,11 +41,11 @@
 	if l.left <= 0 {
 		return 0, errHeadTooLong
 	}
+	n, err := l.source.Read(p[:min(len(p), l.left)])
+	l.left -= n
 	// The charge for the request includes the first buffer.
-	if l.left < maxHeadBytes-readBufferBytes && !l.charged.Reserve(headCopies*min(len(p), l.left)) {
+	if beyond := min(n, maxHeadBytes-readBufferBytes-l.left); beyond > 0 && !l.charged.Reserve(headCopies*beyond) {
 		return 0, errNoHeadMemory
 	}
-	n, err := l.source.Read(p[:min(len(p), l.left)])
-	l.left -= n
 	return n, err
 }
--- a/lib/pkg/reply/scan.go
+++ b/lib/pkg/reply/scan.go
@@ -24,23 +24,34 @@
 // scan reads the next bytes up to the end of the final head, which follows the interim ones.
 func (s *headScan) scan(p []byte) error {
 	for _, b := range p {
-		switch {
-		case !s.inHead:
+		if !s.inHead {
 			return nil
-		case b == '\n':
-			s.endLine()
-			if s.line > maxFields+1 {
-				return fault.New("read head", KindInvalid, "too many fields")
-			}
-		case b == '\r':
-		case s.column == 0 && s.line > 0 && (b == ' ' || b == '\t'):
-			return fault.New("read head", KindInvalid, "a line that begins with a blank")
-		default:
-			if s.line == 0 && s.column == statusColumn {
-				s.interim = b == '1'
-			}
-			s.column++
 		}
+		if err := s.read(b); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (s *headScan) read(b byte) error {
+	blank := b == ' ' || b == '\t'
+	switch {
+	case b == '\n':
+		s.endLine()
+		if s.line > maxFields+1 {
+			return fault.New("read head", KindInvalid, "too many fields")
+		}
+	case b == '\r':
+	case blank && s.line > 0 && s.column == 0:
+		return fault.New("read head", KindInvalid, "a line that begins with a blank")
+	case blank && s.line == 0 && s.column == statusColumn:
+		// net/http accepts more than one blank before the status.
+	default:
+		if s.line == 0 && s.column == statusColumn {
+			s.interim = b == '1'
+		}
+		s.column++
 	}
 	return nil
 }
