--- a/_scripts/breaks.sh
+++ b/_scripts/breaks.sh
@@ -85,7 +85,7 @@
 broken edged/pkg/gossip/send.go 's/if msg.data != nil {/if true {/' ./edged/pkg/gossip TestUnencodable
 broken edged/pkg/pick/split.go 's/if !c.Has(r) {/if false {/' ./edged/pkg/pick TestSplits
 broken edged/pkg/conns/conns.go 's/if id == req.ID {/if true {/' ./edged/pkg/conns TestAnswers
-broken edged/pkg/conns/conns.go 's/if now.Before(c.until) \&\& quiet(c.Conn)/if now.Before(c.until)/' ./edged/pkg/conns TestKeeping
+broken edged/pkg/conns/conns.go 's/if now.Before(c.until) \&\& quiet(c.NetConn())/if now.Before(c.until)/' ./edged/pkg/conns TestKeeping
 broken edged/pkg/conns/conns.go 's/clean \&\& !resp.Close/clean/' ./edged/pkg/conns TestKeeping
 broken edged/pkg/proxy/proxy.go 's/if (x.route.Idempotent() || !x.mayHaveRun) \&\& p.mayRetry(x)/if p.mayRetry(x)/' ./edged/cmds TestFaultsOfBackends
 broken edged/pkg/proxy/proxy.go 's/	if x.mayHaveRun {$/	if false {/' ./edged/cmds 'TestFaultsOfBackends|TestTimes'
