--- a/lib/pkg/plan/view.go
+++ b/lib/pkg/plan/view.go
@@ -42,7 +42,7 @@
 	case s.ID == "" || s.Service == "" || s.DataCentre == "":
 		return invalid("backend server %q has no ID, service or data centre", s.ID)
 	case err != nil || address.Port() == 0:
-		return invalid("backend server %q has no address with a port: %q", s.ID, s.Address)
+		return invalid("backend server %q has no address, or one without a port", s.ID)
 	case s.Slots < 1 || s.Slots > maxSlots:
 		return invalid("backend server %q has %d slots, not 1 to %d", s.ID, s.Slots, maxSlots)
 	}
--- a/lib/pkg/reply/head.go
+++ b/lib/pkg/reply/head.go
@@ -23,6 +23,9 @@
 // Error is the error type of the package.
 type Error = fault.Error[Kind]
 
+// maxQuotedBytes is how much of a name an error quotes.
+const maxQuotedBytes = 64
+
 // CheckHead returns an error for the head of a response, final or interim, that is none in the protocol but that net/http accepts:
 //   - a status below 100, as it takes any three characters that are a number, such as 000 and -00; or 101, since no request of this system
 //     asks to switch protocols,
@@ -34,7 +37,7 @@
 	}
 	for name := range header {
 		if !httpguts.ValidHeaderFieldName(name) {
-			return fault.New("read head", KindInvalid, "name of a field "+strconv.Quote(name))
+			return fault.New("read head", KindInvalid, "name of a field "+strconv.Quote(name[:min(len(name), maxQuotedBytes)]))
 		}
 	}
 	return nil
