cmds: give the endless backend server an ID of its own

The test had changed the address of an entry and kept its ID and start. Where the configuration was read before the entry, the first probe opened a connection to the former address, and a connection is kept for as long as the incarnation lives, which in the store has one address. What the test checks is unchanged.

--- a/edged/cmds/endless_test.go
+++ b/edged/cmds/endless_test.go
@@ -79,7 +79,9 @@
 	t.Cleanup(func() { _ = l.Close() })
 	s := &endlessServer{endlessRow: row}
 	go s.serve(l)
-	f.store.Set(fake.KindBackends, "i-b1", f.backends["i-b1"].SpecWithAddress(l.Addr().String(), "beta", "north-a", "ready", endlessRequests))
+	// Not the same ID with another address: connections are kept for as long as an incarnation lives, and could be to the address before.
+	f.store.Remove(fake.KindBackends, "i-b1")
+	f.store.Set(fake.KindBackends, "i-e1", f.backends["i-b1"].SpecWithAddress(l.Addr().String(), "beta", "north-a", "ready", endlessRequests))
 	config := fake.Config(2, fake.Route{Prefix: "/read/", Idempotent: true, Service: "alpha", Timeout: 30},
 		fake.Route{Prefix: "/write/", Service: "alpha", Timeout: 30}, fake.Route{Prefix: "/endless/", Idempotent: true, Service: "beta", Timeout: 30})
 	f.store.Set(fake.KindConfig, fake.NameConfig, config)
