gossip: let standbys take over from a watcher of the store that fails or stops

Cause: the election of watchers went by the timeouts of heartbeats, 3.5 s and 5 s in a large fleet, and neither a stopping host nor one that had just started again and not read anything gave the role up.

Change: the eight hosts that come next in the election ask a silent watcher for a heartbeat, then each other, and leave out who does not reply for 0.6 s. A stopping host resigns and goes on until another host of its region watches; a watcher hands over only to a host that watches. A new watcher sends its first changes to all hosts of its region, because of those that would pass them on many may have failed too.

--- a/_scripts/breaks.sh
+++ b/_scripts/breaks.sh
@@ -159,4 +159,6 @@
 broken entryd/pkg/owner/site.go 's/if !s.guard.Open(now) {/if false {/' ./entryd/pkg/owner TestSuspendedOwner
 broken entryd/pkg/owner/guard.go 's/if now.After(g.lastTick) {/if true {/' ./entryd/pkg/owner TestGuard
 broken entryd/pkg/owner/owner.go 's/	o.guard.Tick(now)//' ./entryd/pkg/owner TestGuard
+broken edged/pkg/gossip/elect.go 's/ \&\& !h.isUnresponsive(now)//' ./edged/pkg/gossip TestFleetLostWatchers
+broken edged/pkg/gossip/elect.go 's/ \&\& h.store != storeResigned//' ./edged/pkg/gossip TestFleetResignation
 exit $bad
--- a/edged/cmds/process.go
+++ b/edged/cmds/process.go
@@ -318,7 +318,7 @@
 	p.stopping.Store(true)
 	end := begin.Add(grace - stopMargin)
 	p.proxy.Stop(begin, begin.Add(acceptAfterStop), end)
-	p.gossip.SetServing(false)
+	p.gossip.Leave()
 	p.gossip.Tick(begin, true)
 	select {
 	case <-ctx.Done():
--- a/edged/pkg/gossip/delta.go
+++ b/edged/pkg/gossip/delta.go
@@ -103,6 +103,7 @@
 		if ok {
 			m.changes.add(now, d)
 			m.spread.urgent, m.spread.originated = true, true
+			m.spread.wholeRegion = now.Sub(m.watcherSince) < takeoverTime
 		}
 	}
 }
--- a/edged/pkg/gossip/elect.go
+++ b/edged/pkg/gossip/elect.go
@@ -38,7 +38,8 @@
 func (e *elections) clear() { e.at = time.Time{} }
 
 // IsWatcher reports whether this host is one of those that watch the store: the first of each region in rendezvous
-// order, and at least minWatchers. A host that can't reach the store is none while another one of its region can.
+// order, and at least minWatchers. A host that can't reach the store is none while another one of its region can, and one that is stopping
+// ceases to be one as soon as another host of its region watches the store.
 func (m *Membership) IsWatcher(now time.Time) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -47,17 +48,18 @@
 
 func (m *Membership) isWatcherLocked(now time.Time) bool {
 	if m.watcherAt.IsZero() || now.Sub(m.watcherAt) >= electionTTL || now.Before(m.watcherAt) {
-		m.setWatcher(m.isElectedWatcher(now))
+		m.setWatcher(now, m.isElectedWatcher(now))
 		m.watcherAt = now
 	}
 	return m.watcher
 }
 
 // setWatcher stores the result of the election and closes elected when this host becomes a watcher.
-func (m *Membership) setWatcher(on bool) {
+func (m *Membership) setWatcher(now time.Time, on bool) {
 	switch {
 	case on && !m.watcher:
 		close(m.elected)
+		m.watcherSince = now
 	case !on && m.watcher:
 		m.elected = make(chan struct{})
 	}
@@ -85,26 +87,50 @@
 }
 
 func (m *Membership) isElectedWatcher(now time.Time) bool {
+	if m.leaving && !m.watcher {
+		return false
+	}
 	if now.Sub(m.startedAt) < startupDelay {
 		return m.self.Seed
 	}
-	own, reachable := rank.Score(watcherRole, m.self.IP), m.store != storeUnreachable
+	own := rank.Score(watcherRole, m.self.IP)
 	preceding, watchers := 0, minWatchers
 	for _, h := range m.sorted {
-		otherRegion, precedes := h.distance == OtherRegion, h.watcherScore > own
+		otherRegion := h.distance == OtherRegion
 		switch {
-		case (otherRegion && watchers == 1) || (!otherRegion && !precedes && reachable):
+		case (otherRegion && watchers == 1) || (!otherRegion && !m.precedesAsWatcher(h, own)):
 			// It does not change the result.
-		case !m.isAlive(now, h) || now.Before(h.notWatcherUntil):
+		case !m.mayWatch(now, h):
 		case otherRegion:
 			watchers = 1
-		case reachable:
-			preceding++
 		default:
-			return false
+			preceding++
 		}
 	}
-	return !reachable || preceding < watchers
+	if m.store == storeUnreachable {
+		return preceding == 0
+	}
+	return preceding < watchers
+}
+
+// mayWatch reports whether another host can be elected as a watcher.
+func (m *Membership) mayWatch(now time.Time, h *Host) bool {
+	return m.isAlive(now, h) && h.store != storeResigned && !now.Before(h.notWatcherUntil) && !h.isUnresponsive(now)
+}
+
+// precedesAsWatcher reports whether another host of the region goes before this one, whose score is own. A host that watches the store goes
+// on until another one does: one that has just started, or is only believed alive, takes seconds to begin.
+func (m *Membership) precedesAsWatcher(h *Host, own uint64) bool {
+	switch {
+	case m.store == storeUnreachable:
+		return true
+	case m.leaving:
+		return h.store == storeReachable
+	case m.watcher:
+		return h.watcherScore > own && h.store == storeReachable
+	default:
+		return h.watcherScore > own
+	}
 }
 
 // MustRetry reports whether this host did not reach the store last time.
@@ -119,6 +145,9 @@
 func (m *Membership) IsContact(now time.Time) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if m.leaving {
+		return false
+	}
 	if now.Sub(m.startedAt) < contactDelay || m.self.Seed {
 		return m.self.Seed
 	}
--- a/edged/pkg/gossip/gossip.go
+++ b/edged/pkg/gossip/gossip.go
@@ -100,17 +100,20 @@
 	sorted                []*Host
 	heardHosts, peakHeard int
 	serving               bool
-	store                 storeState
+	// leaving means that the host is stopping, so that others have to take over its roles.
+	leaving bool
+	store   storeState
 	// alive is the number of hosts that were alive at the last Tick, this one included, peakAlive the highest so far.
 	alive, peakAlive int
 	// fleetSize is the highest number of hosts in the store, or known to a peer.
 	fleetSize int
 	// lastLoad is the load at the last Tick.
 	lastLoad map[uint32]uint32
-	// watcher caches the result of IsWatcher, which was computed at watcherAt. elected is closed while it is true.
-	watcher   bool
-	watcherAt time.Time
-	elected   chan struct{}
+	// watcher caches the result of IsWatcher, which was computed at watcherAt. elected is closed while it is true; watcherSince is when it
+	// last became true.
+	watcher                 bool
+	watcherAt, watcherSince time.Time
+	elected                 chan struct{}
 	// freshest maps each other data centre to the host of it with the newest heartbeat.
 	freshest map[string]*Host
 	// timeouts is how long a host counts as alive after its last heartbeat, by its distance.
@@ -192,14 +195,33 @@
 	}
 }
 
+// Leave begins a planned stop: this host no longer accepts callers' requests, and other hosts are to take over its roles.
+func (m *Membership) Leave() {
+	m.SetServing(false)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.leaving, m.spread.notifyStandbys = true, true
+	m.watcherAt = time.Time{}
+}
+
 // SetStoreReachable sets whether this host reaches the store. Heartbeats report it.
 func (m *Membership) SetStoreReachable(ok bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	before := m.store
 	m.store, m.watcherAt = storeUnreachable, time.Time{}
 	if ok {
 		m.store = storeReachable
 	}
+	m.spread.notifyStandbys = m.spread.notifyStandbys || m.store != before
+}
+
+// reportedStore returns the state of the store that heartbeats report.
+func (m *Membership) reportedStore() storeState {
+	if m.leaving {
+		return storeResigned
+	}
+	return m.store
 }
 
 // AliveHosts returns the other hosts that are alive, sorted by name.
--- a/edged/pkg/gossip/heartbeat.go
+++ b/edged/pkg/gossip/heartbeat.go
@@ -91,13 +91,16 @@
 // ageUnit is the unit of the ages of records.
 const ageUnit = 50 * time.Millisecond
 
-// storeState is the result of a host's last call to the store.
+// storeState is what a host reports of its calls to the store: the result of the last one, or that it leaves them to others.
 type storeState uint8
 
 const (
 	storeNotContacted storeState = iota
 	storeReachable
 	storeUnreachable
+	// storeResigned means that the host is stopping, so that another one has to watch the store. Hosts of earlier versions take it for
+	// storeNotContacted.
+	storeResigned
 )
 
 // Encoding of a Load value.
--- a/edged/pkg/gossip/host.go
+++ b/edged/pkg/gossip/host.go
@@ -22,10 +22,10 @@
 	seq           uint64
 	lastHeartbeat time.Time
 	lastSent      time.Time
-	// askedAt is when this host last asked it for a heartbeat.
-	askedAt time.Time
-	serving bool
-	store   storeState
+	// askedAt is when this host last asked it for a heartbeat, unansweredSince when it first did so after its last heartbeat.
+	askedAt, unansweredSince time.Time
+	serving                  bool
+	store                    storeState
 	// reachableSince is since when its heartbeats have said that it reaches the store.
 	reachableSince time.Time
 	// notWatcherUntil is the time up to which the host is not elected as a watcher, because it can't reach the store.
@@ -74,10 +74,23 @@
 		h.notWatcherUntil = now.Add(watcherExclusion)
 	case storeReachable:
 		h.notWatcherUntil = time.Time{}
-	case storeNotContacted:
+	case storeNotContacted, storeResigned:
 	}
 }
 
+// recordQuestion records that this host asks the host for a heartbeat.
+func (h *Host) recordQuestion(now time.Time) {
+	if !h.lastHeartbeat.Before(h.unansweredSince) {
+		h.unansweredSince = now
+	}
+	h.askedAt = now
+}
+
+// isUnresponsive reports whether the host has sent no heartbeat although this host asked for one replyTimeout ago.
+func (h *Host) isUnresponsive(now time.Time) bool {
+	return h.lastHeartbeat.Before(h.unansweredSince) && now.Sub(h.unansweredSince) >= replyTimeout
+}
+
 // record returns the host's newest heartbeat for other hosts.
 func (h *Host) record(now time.Time) record {
 	age := min(math.MaxUint8, (now.Sub(h.lastHeartbeat)+ageUnit-1)/ageUnit)
--- a/edged/pkg/gossip/send.go
+++ b/edged/pkg/gossip/send.go
@@ -37,10 +37,12 @@
 	m.fleetSize = max(m.fleetSize, len(members))
 	m.scanHosts(now)
 	m.isWatcherLocked(now)
-	hb.Incarnation, hb.Serving, hb.Store, hb.FleetSize, hb.AliveHosts = m.incarnation, m.serving, m.store, m.peakHosts(), m.alive
+	hb.Incarnation, hb.Serving, hb.Store, hb.FleetSize, hb.AliveHosts = m.incarnation, m.serving, m.reportedStore(), m.peakHosts(), m.alive
 	m.spread.welcomes, m.spread.replies = 0, 0
 	if m.isLargeFleet() {
 		m.askSilent(now, hb)
+		m.askWatchers(now, hb)
+		m.notifyStandbys(now, hb)
 		m.sendToSome(now, hb, urgent)
 		return
 	}
--- a/edged/pkg/gossip/spread.go
+++ b/edged/pkg/gossip/spread.go
@@ -72,8 +72,12 @@
 	nearAt, regionAt, remoteAt, probedAt time.Time
 	// urgent means that there are changes of resources to pass on, and originated that this host learned them from the store.
 	urgent, originated bool
+	// wholeRegion means that the changes that this host learned from the store go to all hosts of the region directly.
+	wholeRegion bool
 	// announceAll means that all hosts of the data centre must learn at once that this host serves now, or no longer.
 	announceAll bool
+	// notifyStandbys means that the standbys must learn at once whether this host watches the store.
+	notifyStandbys bool
 	// stride is the distance to the last receiver in the order of the hosts of the data centre.
 	stride int
 	// welcomes and replies count what was sent in return to a message since the last Tick.
@@ -143,11 +147,15 @@
 		m.sendBare(now, hb, g.near)
 	}
 	hb.Deltas = m.changes.toSend(now)
-	m.sendForm(now, hb, m.nextNeighbours(g.near))
+	near := g.near
+	if !s.wholeRegion {
+		near = m.nextNeighbours(near)
+	}
+	m.sendForm(now, hb, near)
 	s.nearAt = now
 	m.sendToRegion(now, hb, g, passOn)
 	if passOn {
-		s.urgent, s.originated = false, false
+		s.urgent, s.originated, s.wholeRegion = false, false, false
 	}
 	far := *hb
 	far.Deltas, far.Warm = nil, nil
@@ -174,16 +182,20 @@
 			silent = append(silent, h)
 		}
 	}
-	if len(silent) == 0 {
+	m.ask(now, hb, m.sample(silent, maxAsks))
+}
+
+// ask asks hosts for a heartbeat in return.
+func (m *Membership) ask(now time.Time, hb *heartbeat, hosts []*Host) {
+	if len(hosts) == 0 {
 		return
 	}
-	ask := *hb
-	ask.WantsReply = true
-	silent = m.sample(silent, maxAsks)
-	for _, h := range silent {
-		h.askedAt = now
+	question := *hb
+	question.WantsReply = true
+	for _, h := range hosts {
+		h.recordQuestion(now)
 	}
-	m.sendBare(now, &ask, silent)
+	m.sendBare(now, &question, hosts)
 }
 
 // due reports whether an interval has passed since the last message.
@@ -197,6 +209,8 @@
 func (m *Membership) sendToRegion(now time.Time, hb *heartbeat, g groups, passOn bool) {
 	s := &m.spread
 	switch {
+	case passOn && s.wholeRegion:
+		m.sendForm(now, hb, g.region)
 	case passOn && s.originated:
 		m.sendForm(now, hb, m.sampleEach(g.region, originHosts))
 	case passOn && m.random.IntN(len(g.near)+1) < crossings:
@@ -264,7 +278,10 @@
 			old = append(old, h)
 		}
 	}
-	chosen := append(m.firstWatchers(now), m.freshestOfOthers(now, to)...)
+	chosen := m.freshestOfOthers(now, to)
+	if len(m.hosts) > maxRecords {
+		chosen = append(chosen, m.firstWatchers(now, watcherRecords)...)
+	}
 	fresh = m.sample(fresh, nearLimit)
 	chosen = append(chosen, fresh...)
 	chosen = append(chosen, m.sample(old, nearLimit-len(fresh))...)
@@ -309,12 +326,9 @@
 	return out
 }
 
-// firstWatchers returns the alive hosts of this region that come first in the election of its watcher.
-func (m *Membership) firstWatchers(now time.Time) []*Host {
-	if len(m.hosts) <= maxRecords {
-		return nil
-	}
-	var best []*Host
+// firstWatchers returns the first n alive hosts of this region in the election of its watcher.
+func (m *Membership) firstWatchers(now time.Time, n int) []*Host {
+	best := make([]*Host, 0, n+1)
 	for _, h := range m.sorted {
 		if h.region != m.self.Region || !m.isAlive(now, h) {
 			continue
@@ -323,9 +337,9 @@
 		for i > 0 && best[i-1].watcherScore < h.watcherScore {
 			i--
 		}
-		if i < watcherRecords {
+		if i < n {
 			best = slices.Insert(best, i, h)
-			best = best[:min(len(best), watcherRecords)]
+			best = best[:min(len(best), n)]
 		}
 	}
 	return best
@@ -362,7 +376,7 @@
 // newReply returns a heartbeat without what comes from the table.
 func (m *Membership) newReply() *heartbeat {
 	hb := &heartbeat{
-		Name: m.self.Name, DataCentre: m.self.DataCentre, Incarnation: m.incarnation, Serving: m.serving, Store: m.store,
+		Name: m.self.Name, DataCentre: m.self.DataCentre, Incarnation: m.incarnation, Serving: m.serving, Store: m.reportedStore(),
 		StoreRecoveryAgeMillis: -1, FleetSize: m.peakHosts(), AliveHosts: m.alive,
 	}
 	for _, t := range plan.Topics() {
--- a/edged/pkg/watch/watch.go
+++ b/edged/pkg/watch/watch.go
@@ -89,6 +89,10 @@
 			return nil
 		}
 		if err == nil {
+			if !listed {
+				// Peers learn it before the next probe: until then, the host that watched before goes on.
+				w.election.SetStoreReachable(true)
+			}
 			if w.state.SetAvailable(time.Now()) {
 				w.log.Info("store is available again", "event", "regained", "topic", string(t))
 			}
