watch: report a failed list at once, so that another host takes over

What callers saw: the store turned a third of the hosts away and another third was cut off at the same time, the watchers of all regions among them.

Cause: a host that took over and whose first list failed at once kept the role until its next probe, 0.7 to 1.3 s later; each of the next ones did the same.

Change: a failed list is reported like a failed probe. After six failures in a region the next hosts wait for 0.7 s before they try, since the store is most likely down for all.

--- a/edged/pkg/gossip/elect.go
+++ b/edged/pkg/gossip/elect.go
@@ -11,6 +11,10 @@
 const (
 	// watcherExclusion is how long a host is not elected as a watcher after it reported that it can't reach the store.
 	watcherExclusion = 3 * time.Second
+	// maxQuickAttempts is how many hosts of a region take over from each other at once while none reaches the store. The next ones wait for
+	// attemptInterval: most likely the store is down for all, and each attempt costs calls.
+	maxQuickAttempts = 6
+	attemptInterval  = 700 * time.Millisecond
 	// minWatchers is how many hosts watch the store when there is only one region.
 	minWatchers = 2
 	// startupDelay is how long a host that is not a seed waits after its start before it may watch the store. It covers
@@ -110,7 +114,23 @@
 	if m.store == storeUnreachable {
 		return preceding == 0
 	}
-	return preceding < watchers
+	return preceding < watchers && !m.mustWait(now)
+}
+
+// mustWait reports whether so many hosts of the region have failed to reach the store, the last one so recently, that this host does not
+// begin to watch it yet.
+func (m *Membership) mustWait(now time.Time) bool {
+	if m.watcher {
+		return false
+	}
+	failed, recent := 0, false
+	for _, h := range m.sorted {
+		if h.distance != OtherRegion && now.Before(h.notWatcherUntil) {
+			failed++
+			recent = recent || now.Sub(h.unreachableSince) < attemptInterval
+		}
+	}
+	return recent && failed >= maxQuickAttempts
 }
 
 // mayWatch reports whether another host can be elected as a watcher.
--- a/edged/pkg/gossip/host.go
+++ b/edged/pkg/gossip/host.go
@@ -26,8 +26,8 @@
 	askedAt, unansweredSince time.Time
 	serving                  bool
 	store                    storeState
-	// reachableSince is since when its heartbeats have said that it reaches the store.
-	reachableSince time.Time
+	// reachableSince is since when its heartbeats have said that it reaches the store, unreachableSince since when that it does not.
+	reachableSince, unreachableSince time.Time
 	// notWatcherUntil is the time up to which the host is not elected as a watcher, because it can't reach the store.
 	notWatcherUntil time.Time
 	// loggedAlive is the result of the last check for failure; only the change from alive to failed is logged.
@@ -67,6 +67,9 @@
 	if r.Store == storeReachable && (h.store != storeReachable || h.incarnation != r.Incarnation) {
 		h.reachableSince = now
 	}
+	if r.Store == storeUnreachable && h.store != storeUnreachable {
+		h.unreachableSince = now
+	}
 	h.dataCentre, h.region, h.distance, h.heard = r.DataCentre, region, d, true
 	h.incarnation, h.seq, h.lastHeartbeat, h.serving, h.store = r.Incarnation, r.Seq, now.Add(-time.Duration(r.Age)*ageUnit), r.Serving, r.Store
 	switch r.Store {
--- a/edged/pkg/gossip/standby_test.go
+++ b/edged/pkg/gossip/standby_test.go
@@ -15,6 +15,9 @@
 	stopTime = 2500 * time.Millisecond
 	// darkTime is how long a host is without power.
 	darkTime = 2 * time.Second
+	// refusedTime is how long the store turns away every host that begins to watch it, up to refusedHosts; it does not accept those again.
+	refusedTime  = 500 * time.Millisecond
+	refusedHosts = 9
 	// playedHosts is how many hosts the runs of each size have in total.
 	playedHosts = 300
 )
@@ -77,6 +80,16 @@
 			f.run(stopTime)
 			f.setDown(lost)
 		}},
+		{"the store turns away the watchers and those that take over", func(f *fleet) {
+			refused, last := map[*fleetHost]bool{}, f.now.Add(refusedTime)
+			f.storeAway = func(h *fleetHost) bool {
+				if f.now.Before(last) && len(refused) < refusedHosts && h.m.IsWatcher(f.now) {
+					refused[h] = true
+				}
+				return refused[h]
+			}
+			f.run(refusedTime)
+		}},
 		{"the watchers restart", func(f *fleet) {
 			lost := f.watchers()
 			f.setDown(lost)
--- a/edged/pkg/watch/watch.go
+++ b/edged/pkg/watch/watch.go
@@ -188,12 +188,14 @@
 	w.source.CloseIdleConnections()
 }
 
-// handleError logs a failed call. A failed list call means that the store is unavailable.
+// handleError logs a failed call. A failed list call means that the store is unavailable to this host: another one takes over at once, as
+// the next probe may be most of probeInterval away.
 func (w *Watcher) handleError(t plan.Topic, err error, listed bool) {
 	w.log.Warn("call to the store failed", "event", "lost", "topic", string(t), "watch", listed, "error", err)
 	if !listed {
 		w.state.SetLocalOutage(w.election.PeersReachStore(time.Now()))
 		w.state.SetUnavailable(time.Now())
+		w.election.SetStoreReachable(false)
 		w.source.CloseIdleConnections()
 	}
 }
--- a/edged/pkg/watch/watch_test.go
+++ b/edged/pkg/watch/watch_test.go
@@ -199,6 +199,43 @@
 	assert.Equal(t, state.View().Config().Version(), uint64(3))
 }
 
+// downSource is a store that responds to no list call.
+type downSource struct{ stalledSource }
+
+func (*downSource) List(context.Context, time.Time, plan.Topic) (plan.Listing, error) {
+	return plan.Listing{}, errors.New("refused")
+}
+
+// electedOnce makes the host a watcher until it reports that it does not reach the store.
+type electedOnce struct {
+	alwaysElected
+
+	failed chan struct{}
+	once   sync.Once
+}
+
+func (e *electedOnce) SetStoreReachable(ok bool) {
+	if !ok {
+		e.once.Do(func() { close(e.failed) })
+	}
+}
+
+// TestFailedList guards against a host that has taken over as a watcher, does not reach the store and keeps the role until its next probe.
+func TestFailedList(t *testing.T) {
+	election := &electedOnce{failed: make(chan struct{})}
+	w := New(&downSource{}, newState(), election, slog.New(slog.DiscardHandler))
+	ctx, cancel := context.WithCancel(t.Context())
+	var group sync.WaitGroup
+	group.Go(func() { _ = w.Run(ctx, plan.TopicConfig) })
+	select {
+	case <-election.failed:
+	case <-time.After(probeInterval):
+		t.Error("the host did not report that it does not reach the store")
+	}
+	cancel()
+	group.Wait()
+}
+
 // TestRelinquish lets a host lose the store while its peers still reach it: what they report counts at once, and when the host
 // reads the store again, it holds entries that may only have expired.
 func TestRelinquish(t *testing.T) {
