gossip: leave stopping hosts out of the election for slow starts on themselves too

Cause: a host left others that do not serve out of the election, but not itself. For the 2.5 s in which stopping hosts still take requests, each of them went on sending beside the host that the others had chosen.

Change: hosts that do not serve come after those that do, on all hosts alike.

--- a/_scripts/breaks.sh
+++ b/_scripts/breaks.sh
@@ -161,4 +161,6 @@
 broken entryd/pkg/owner/owner.go 's/	o.guard.Tick(now)//' ./entryd/pkg/owner TestGuard
 broken edged/pkg/gossip/elect.go 's/ \&\& !h.isUnresponsive(now)//' ./edged/pkg/gossip TestFleetLostWatchers
 broken edged/pkg/gossip/elect.go 's/ \&\& h.store != storeResigned//' ./edged/pkg/gossip TestFleetResignation
+broken edged/pkg/gossip/elect.go 's/h.serving != m.serving || near > own/near > own/' ./edged/pkg/gossip TestElectedWhileStopping
+broken edged/pkg/watch/watch.go 's/^\t\tw.election.SetStoreReachable(false)$//' ./edged/pkg/watch TestFailedList
 exit $bad
--- a/edged/pkg/gossip/elect.go
+++ b/edged/pkg/gossip/elect.go
@@ -181,7 +181,8 @@
 }
 
 // IsElectedFor reports whether this host is the one that sends to a backend server during its slow start: the first in
-// rendezvous order among the serving hosts of the backend server's data centre, else of its region, else of all.
+// rendezvous order among the serving hosts of the backend server's data centre, else of its region, else of all. Hosts that do
+// not serve, this one included, come after all that do: a stopping host still gets requests, but the others have chosen another one.
 func (m *Membership) IsElectedFor(now time.Time, b *plan.Backend) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -210,11 +211,11 @@
 	}
 	own, score := proximity(m.self.DataCentre, m.self.Region), rank.Score(b.Key(), m.self.IP)
 	for _, h := range m.sorted {
-		if !h.serving || !m.isAlive(now, h) {
+		if (m.serving && !h.serving) || !m.isAlive(now, h) {
 			continue
 		}
 		near := proximity(h.dataCentre, h.region)
-		if near > own || (near == own && rank.Score(b.Key(), h.id()) > score) {
+		if h.serving != m.serving || near > own || (near == own && rank.Score(b.Key(), h.id()) > score) {
 			return false
 		}
 	}
--- a/edged/pkg/gossip/gossip_test.go
+++ b/edged/pkg/gossip/gossip_test.go
@@ -141,6 +141,45 @@
 	assert.Equal(t, elected, 1)
 }
 
+// TestElectedWhileStopping guards against several hosts that send to a backend server in slow start, because those that are stopping go on
+// after the others have chosen another host.
+func TestElectedWhileStopping(t *testing.T) {
+	const hosts = 6
+	b := plan.NewBackend(plan.BackendSpec{ID: "b", Service: "alpha"}, "south")
+	elected := func(stopping map[int]bool) (list []int) {
+		for i := range hosts {
+			m := newTestMembership(t, i)
+			m.SetServing(true)
+			for j := range hosts {
+				if j != i {
+					receiveHeartbeat(t, m, j, start, func(hb *heartbeat) { hb.Serving = !stopping[j] })
+				}
+			}
+			m.IsElectedFor(start, b)
+			if stopping[i] {
+				m.Leave()
+			}
+			if m.IsElectedFor(start, b) {
+				list = append(list, i)
+			}
+		}
+		return list
+	}
+	t.Run("one host goes on in place of those that are stopping", func(t *testing.T) {
+		for i := range hosts {
+			for j := range hosts {
+				stopping := map[int]bool{i: true, j: true}
+				list := elected(stopping)
+				assert.Equal(t, len(list), 1, "%v", stopping)
+				assert.Assert(t, !stopping[list[0]])
+			}
+		}
+	})
+	t.Run("one goes on if all are stopping", func(t *testing.T) {
+		assert.Equal(t, len(elected(map[int]bool{0: true, 1: true, 2: true, 3: true, 4: true, 5: true})), 1)
+	})
+}
+
 // TestOddEntriesOfPeers guards against an entry that a peer of another version accepts and that names no backend server to use.
 func TestOddEntriesOfPeers(t *testing.T) {
 	good := plan.BackendSpec{ID: "b", Service: "alpha", Address: "127.0.0.1:1", DataCentre: "n", Slots: 2}
