watch: apply the end of a drain after the changes of backend servers before it

Cause: the topics of the store are watched separately, with a pause after a change, so the end of the drain was applied up to 150 ms before entries with a lower revision. Hosts passed the topics on to each other without regard to their order too.

Change: a host reads the changes of backend servers up to the present before it applies the end of a drain.

--- a/_scripts/breaks.sh
+++ b/_scripts/breaks.sh
@@ -164,4 +164,6 @@
 broken edged/pkg/gossip/elect.go 's/h.serving != m.serving || near > own/near > own/' ./edged/pkg/gossip TestElectedWhileStopping
 broken edged/pkg/watch/watch.go 's/^\t\tw.election.SetStoreReachable(false)$//' ./edged/pkg/watch TestFailedList
 broken platform/adapt/store.go 's/now.Add(time.Since(begun))/now/' ./platform/adapt TestSlowList
+broken edged/pkg/watch/order.go 's/t != plan.TopicDrains || !loaded/true || !loaded/' ./edged/pkg/watch TestDrainEndsInOrder
+broken edged/pkg/watch/order.go 's/return have < snap.Backends/return have < snap.Backends \&\& false/' ./edged/pkg/gossip TestDeltaOfEndedDrain
 exit $bad
--- a/edged/pkg/gossip/delta.go
+++ b/edged/pkg/gossip/delta.go
@@ -118,8 +118,8 @@
 	if len(encoded.Entries) == 0 {
 		return delta{}, false, nil
 	}
-	// Not a field of the delta: msgpack decodes an array only into a struct with as many fields, and hosts of earlier versions have fewer.
-	encoded.Entries[0].Gaps = encoded.Gaps
+	// Not fields of the delta: msgpack decodes an array only into a struct with as many fields, and hosts of earlier versions have fewer.
+	encoded.Entries[0].Gaps, encoded.Entries[0].Backends = encoded.Gaps, encoded.Backends
 	data, err := json.Marshal(encoded.Entries)
 	if err != nil {
 		return delta{}, false, err
@@ -167,7 +167,7 @@
 		if err == nil {
 			s := snapshot{Topic: d.Topic, Revision: d.Revision, Entries: entries}
 			if len(entries) > 0 {
-				s.Gaps = entries[0].Gaps
+				s.Gaps, s.Backends = entries[0].Gaps, entries[0].Backends
 			}
 			origin := plan.Origin{Via: plan.ViaDelta, Peer: from.String(), Age: time.Duration(d.AgeMillis) * time.Millisecond}
 			err = m.applySnapshot(now, origin, s)
@@ -176,6 +176,9 @@
 			m.log.Warn("changes from a peer ignored: they could not be decoded", "event", "mesh", "topic", string(d.Topic), "error", err)
 			continue
 		}
+		if revision, _ := m.state.Revision(d.Topic); revision < d.Revision {
+			continue
+		}
 		m.mu.Lock()
 		m.changes.add(now, d)
 		m.spread.urgent = true
--- a/edged/pkg/gossip/delta_test.go
+++ b/edged/pkg/gossip/delta_test.go
@@ -48,6 +48,34 @@
 	})
 }
 
+// TestDeltaOfEndedDrain guards against a host that applies the end of a drain, and passes it on, before the changes of backend servers that
+// came before it.
+func TestDeltaOfEndedDrain(t *testing.T) {
+	f := newFleet(t, 3, 1)
+	member := func() *Membership {
+		state := watch.NewState(f.regions, slog.New(slog.DiscardHandler))
+		state.Replace(f.now, plan.TopicBackends, plan.Listing{Revision: 40, Changes: []plan.Change{backendChange("a", 40)}})
+		state.Replace(f.now, plan.TopicDrains, plan.Listing{Revision: 40, Changes: []plan.Change{{Name: "dc-0", Revision: 39, Resource: plan.Drained{}}}})
+		return newMembership(f.now, Self{Name: "x", DataCentre: "dc-0", Region: "r", IP: "127.0.0.9", Port: 7000, Regions: f.regions}, state,
+			pick.New(pick.DefaultRules(), noFleet{}), slog.New(slog.DiscardHandler), &fleetNetwork{f, f.hosts[0]})
+	}
+	sender, receiver := member(), member()
+	sender.state.Update(f.now, plan.TopicBackends, plan.Listing{Revision: 41, Changes: []plan.Change{backendChange("a", 41)}})
+	sender.state.Update(f.now, plan.TopicDrains, plan.Listing{Revision: 42, Changes: []plan.Change{{Name: "dc-0", Revision: 42, Resource: plan.Removed{}}}})
+	changed, ok, err := sender.newDelta(f.now, plan.TopicBackends, 40)
+	assert.NilError(t, err)
+	assert.Assert(t, ok)
+	ended, ok, err := sender.newDelta(f.now, plan.TopicDrains, 40)
+	assert.NilError(t, err)
+	assert.Assert(t, ok)
+	receiver.receiveDeltas(f.now, fleetIP(1), []delta{ended})
+	assert.Assert(t, receiver.state.View().Drained("dc-0"))
+	assert.Equal(t, len(receiver.changes.recent), 0)
+	receiver.receiveDeltas(f.now, fleetIP(1), []delta{changed, ended})
+	assert.Assert(t, !receiver.state.View().Drained("dc-0"))
+	assert.Equal(t, len(receiver.changes.recent), 2)
+}
+
 func backendChange(id string, revision uint64) plan.Change {
 	return plan.Change{Name: id, Revision: revision, Resource: plan.BackendSpec{ID: id, Service: "alpha", Address: "127.0.0.1:1", DataCentre: "dc-0", Slots: 1}}
 }
--- a/edged/pkg/gossip/pull.go
+++ b/edged/pkg/gossip/pull.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -46,7 +47,7 @@
 	maxOwnPulls    = 3
 )
 
-// exchangedTopics returns the topics whose resources hosts pass on to each other.
+// exchangedTopics returns the topics whose resources hosts pass on to each other, in the order in which they are applied.
 func exchangedTopics() []plan.Topic {
 	return []plan.Topic{plan.TopicConfig, plan.TopicBackends, plan.TopicDrains}
 }
@@ -63,8 +64,9 @@
 	Unreadable      bool              `json:"unreadable,omitempty"`
 	Gone            bool              `json:"gone,omitempty"`
 	HoldMillis      int64             `json:"holdMillis,omitempty"`
-	// Gaps holds the gaps of a delta, in its first entry.
-	Gaps [][2]uint64 `json:"gaps,omitempty"`
+	// Gaps and Backends are those of a delta, in its first entry.
+	Gaps     [][2]uint64 `json:"gaps,omitempty"`
+	Backends uint64      `json:"backendsRevision,omitempty"`
 }
 
 // snapshot is the JSON form of a watch.Snapshot.
@@ -73,8 +75,9 @@
 	Revision uint64     `json:"revision"`
 	Full     bool       `json:"full,omitempty"`
 	Entries  []entry    `json:"entries"`
-	// Gaps holds the ends of each gap. Hosts of earlier versions ignore them.
-	Gaps [][2]uint64 `json:"gaps,omitempty"`
+	// Gaps holds the ends of each gap, Backends the revision of the sender's backend servers. Hosts of earlier versions ignore them.
+	Gaps     [][2]uint64 `json:"gaps,omitempty"`
+	Backends uint64      `json:"backendsRevision,omitempty"`
 }
 
 // pulls holds which pulls are in progress and due.
@@ -290,20 +293,22 @@
 	return data, true, err
 }
 
-// snapshots returns a snapshot of each exchanged topic that is newer than the revision in have.
+// snapshots returns a snapshot of each exchanged topic that is newer than the revision in have. They are taken in reverse order, so that
+// the backend servers, which the receiver applies first, are not older than the drains.
 func (m *Membership) snapshots(now time.Time, have map[plan.Topic]uint64) []snapshot {
 	out := []snapshot{}
-	for _, t := range exchangedTopics() {
+	for _, t := range slices.Backward(exchangedTopics()) {
 		if s, ok := m.state.Snapshot(t, have[t]); ok {
 			out = append(out, encodeSnapshot(now, s))
 		}
 	}
+	slices.Reverse(out)
 	return out
 }
 
 // encodeSnapshot encodes the ends of slow starts and holds as the time left at now, because the clocks of hosts differ.
 func encodeSnapshot(now time.Time, s watch.Snapshot) snapshot {
-	out := snapshot{Topic: s.Topic, Revision: s.Revision, Full: s.Full}
+	out := snapshot{Topic: s.Topic, Revision: s.Revision, Full: s.Full, Backends: s.Backends}
 	for _, g := range s.Gaps {
 		out.Gaps = append(out.Gaps, [2]uint64{g.From, g.To})
 	}
@@ -351,7 +356,7 @@
 const maxMillis = int64(24 * time.Hour / time.Millisecond)
 
 func decodeSnapshot(now time.Time, s snapshot) (watch.Snapshot, error) {
-	out := watch.Snapshot{Topic: s.Topic, Revision: s.Revision, Full: s.Full}
+	out := watch.Snapshot{Topic: s.Topic, Revision: s.Revision, Full: s.Full, Backends: s.Backends}
 	for _, g := range s.Gaps {
 		out.Gaps = append(out.Gaps, watch.Gap{From: g[0], To: g[1]})
 	}
--- a/edged/pkg/watch/state.go
+++ b/edged/pkg/watch/state.go
@@ -18,25 +18,6 @@
 // servers that are still running have renewed their entries about 2 s after the store recovers.
 const holdAfterRecovery = 2200 * time.Millisecond
 
-// Snapshot is what a host sends to a peer for a topic: all its resources, or the changes after the peer's revision.
-type Snapshot struct {
-	Topic    plan.Topic
-	Revision uint64
-	// Full reports whether Changes holds all resources of the topic, so that any other no longer exists.
-	Full    bool
-	Changes []plan.Change
-	// Gaps are the ranges of revisions after the peer's in which Changes may lack removals, unless it is Full. A host whose revision is
-	// within one can't apply the snapshot.
-	Gaps   []Gap
-	Origin plan.Origin
-}
-
-// Gap is a range of revisions, both ends excluded, of which only the result was received, by a list. A resource that was both created
-// and removed within it has no tombstone.
-type Gap struct{ From, To uint64 }
-
-func (g Gap) contains(revision uint64) bool { return g.From < revision && revision < g.To }
-
 // maxTombstones is how many tombstones a topic keeps. A peer that is older than the oldest one gets the whole topic.
 const maxTombstones = 512
 
@@ -308,28 +289,6 @@
 	s.publish(t, dirty)
 }
 
-// ApplySnapshot applies a snapshot from a peer.
-func (s *State) ApplySnapshot(now time.Time, snap Snapshot) {
-	l := plan.Listing{Revision: snap.Revision, Changes: snap.Changes, Origin: snap.Origin}
-	if snap.Full {
-		s.Replace(now, snap.Topic, l)
-		return
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	top := s.topics[snap.Topic]
-	if slices.ContainsFunc(snap.Gaps, func(g Gap) bool { return g.contains(top.revision) }) {
-		// This host has moved on since it asked. It asks again, and the peer then sends all.
-		return
-	}
-	for _, g := range snap.Gaps {
-		if g.To > top.revision {
-			top.addGap(g)
-		}
-	}
-	s.update(now, snap.Topic, l)
-}
-
 // ExpireHeld deletes the held backend servers whose entries did not return to the store in time.
 func (s *State) ExpireHeld(now time.Time) {
 	s.mu.Lock()
@@ -465,30 +424,3 @@
 	default:
 	}
 }
-
-// Snapshot returns a snapshot of a topic for a peer that has the topic at a revision, and whether the topic is newer than
-// that. It is full if the peer has nothing of the topic or may have what was removed without a tombstone.
-func (s *State) Snapshot(t plan.Topic, have uint64) (Snapshot, bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	top := s.topics[t]
-	if !top.loaded || top.contentRevision <= have {
-		return Snapshot{}, false
-	}
-	snap := Snapshot{Topic: t, Revision: top.contentRevision, Full: have == 0 || top.needsAll(have)}
-	if !snap.Full {
-		snap.Gaps = top.gapsAfter(have)
-	}
-	for _, c := range top.tombstones {
-		removed, _ := c.Resource.(plan.Removed)
-		if held := !removed.HoldUntil.IsZero(); (snap.Full && held) || (!snap.Full && c.Revision > have) {
-			snap.Changes = append(snap.Changes, c)
-		}
-	}
-	for _, c := range top.items {
-		if snap.Full || c.Revision > have {
-			snap.Changes = append(snap.Changes, c)
-		}
-	}
-	return snap, true
-}
--- a/edged/pkg/watch/watch.go
+++ b/edged/pkg/watch/watch.go
@@ -210,6 +210,9 @@
 			return err
 		}
 		l.Origin = plan.Origin{Via: plan.ViaList}
+		if err := w.catchUp(ctx, t, l, true); err != nil {
+			return err
+		}
 		w.state.SetLocalOutage(w.election.PeersReachStore(time.Now()))
 		w.state.Replace(time.Now(), t, l)
 		return nil
@@ -224,6 +227,9 @@
 	if err != nil {
 		return err
 	}
+	if err := w.catchUp(ctx, t, l, false); err != nil {
+		return err
+	}
 	l.Origin = plan.Origin{Via: plan.ViaWatch}
 	w.state.Update(time.Now(), t, l)
 	if len(l.Changes) > 0 {
