conns: reset connections whose request is given up

Cause: the connection was closed in the ordinary way, so the system went on delivering what a cut had held up.

Change: when the context of a send ends, its connection is reset.

Evidence: TestAbandonedSend failed before, both parts. A first form that also reset connections after broken responses failed FuzzRequest and was dropped.

--- a/edged/pkg/conns/conns.go
+++ b/edged/pkg/conns/conns.go
@@ -157,7 +157,7 @@
 
 // exchange sends a request on a connection and reads the response.
 func (p *Pool) exchange(ctx context.Context, c *conn, req *Request) (*Response, error) {
-	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
+	stop := context.AfterFunc(ctx, c.abort)
 	fail := func(err error) (*Response, error) {
 		stop()
 		_ = c.Close()
--- a/edged/pkg/conns/open.go
+++ b/edged/pkg/conns/open.go
@@ -1,6 +1,9 @@
 package conns
 
-import "sync/atomic"
+import (
+	"net"
+	"sync/atomic"
+)
 
 // openCount counts the open connections.
 type openCount struct{ n, max atomic.Int64 }
@@ -20,6 +23,16 @@
 	return c.Conn.Close()
 }
 
+// abort closes the connection by a reset. After an ordinary close, the system goes on delivering what was written: a request that was given
+// up could arrive, and run, seconds later.
+func (c *conn) abort() {
+	if tcp, ok := c.NetConn().(*net.TCPConn); ok {
+		// A connection that can't be reset is closed all the same.
+		_ = tcp.SetLinger(0)
+	}
+	_ = c.Close()
+}
+
 // makeRoom counts a connection that is about to be opened, and closes idle ones if there are too many.
 func (p *Pool) makeRoom() {
 	limit := p.open.max.Load()
