--- a/edged/pkg/gossip/delta.go
+++ b/edged/pkg/gossip/delta.go
@@ -177,6 +177,7 @@
 			continue
 		}
 		if revision, _ := m.state.Revision(d.Topic); revision < d.Revision {
+			// It was not applied, as something before it is missing here, and so would be where it is passed on.
 			continue
 		}
 		m.mu.Lock()
--- a/edged/pkg/gossip/elect.go
+++ b/edged/pkg/gossip/elect.go
@@ -64,8 +64,10 @@
 	case on && !m.watcher:
 		close(m.elected)
 		m.watcherSince = now
+		m.log.Info("this host watches the store from now on", "event", "elected", "hosts", m.alive)
 	case !on && m.watcher:
 		m.elected = make(chan struct{})
+		m.log.Info("this host no longer watches the store", "event", "relieved", "leaving", m.leaving, "reachable", m.store != storeUnreachable)
 	}
 	m.watcher = on
 	if !on && m.store == storeReachable {
