--- a/edged/pkg/watch/watch_test.go
+++ b/edged/pkg/watch/watch_test.go
@@ -206,15 +206,15 @@
 	return plan.Listing{}, errors.New("refused")
 }
 
-// electedOnce makes the host a watcher until it reports that it does not reach the store.
-type electedOnce struct {
+// failureElection makes the host a watcher all the time and closes failed when it reports that it does not reach the store.
+type failureElection struct {
 	alwaysElected
 
 	failed chan struct{}
 	once   sync.Once
 }
 
-func (e *electedOnce) SetStoreReachable(ok bool) {
+func (e *failureElection) SetStoreReachable(ok bool) {
 	if !ok {
 		e.once.Do(func() { close(e.failed) })
 	}
@@ -222,7 +222,7 @@
 
 // TestFailedList guards against a host that has taken over as a watcher, does not reach the store and keeps the role until its next probe.
 func TestFailedList(t *testing.T) {
-	election := &electedOnce{failed: make(chan struct{})}
+	election := &failureElection{failed: make(chan struct{})}
 	w := New(&downSource{}, newState(), election, slog.New(slog.DiscardHandler))
 	ctx, cancel := context.WithCancel(t.Context())
 	var group sync.WaitGroup
