entryd/server: count a test server's requests atomically

Cause: the test server of this package counted requests in a plain int, read by the test after the response. What ordered the two for the race detector was the client's read of the end of the connection. The client sends the empty chunked body of a keyed request in a write of its own; when the server closes before it has read that, the client reads a reset instead, which orders nothing. The count itself was right.

The check is the same.

--- a/entryd/pkg/server/server_test.go
+++ b/entryd/pkg/server/server_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -36,12 +37,12 @@
 // raw starts a server that sends the n-th response to the n-th request of each connection, then
 // closes the connection. An empty response only closes the connection. It returns the address and
 // the number of requests so far.
-func raw(t *testing.T, responses ...string) (address string, requests *int) {
+func raw(t *testing.T, responses ...string) (address string, requests *atomic.Int64) {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	t.Cleanup(func() { _ = l.Close() })
-	n := new(int)
+	n := new(atomic.Int64)
 	go func() {
 		for {
 			c, err := l.Accept()
@@ -55,7 +56,7 @@
 					if _, err := c.Read(buf); err != nil {
 						return
 					}
-					*n++
+					n.Add(1)
 					if _, err := c.Write([]byte(resp)); err != nil || resp == "" {
 						return
 					}
@@ -150,7 +151,7 @@
 				r.req.Header.Set("Idempotency-Key", r.key)
 			}
 			assertAborted(t, c.Do(t.Context(), address, r.req, &recorder{}), false)
-			assert.Equal(t, *n, 2)
+			assert.Equal(t, n.Load(), int64(2))
 		})
 	}
 }
