health: ask backend servers for their slow start while the store is down

Cause: only entries in the store told a slow start; while nobody read them, all hosts took the backend servers for warm.

Fix: a host that hears of no host that reaches the store asks the backend servers for which it would be elected, every 0.4 s, and tells all other hosts of the slow starts that it finds. Then the election and the rate of a slow start apply as usual. While the store is read, no health checks are sent.

Evidence: TestSlowStartWithoutStore without the checks: 331 requests in a second, 27 allowed.

--- a/_scripts/breaks.sh
+++ b/_scripts/breaks.sh
@@ -167,5 +167,9 @@
 broken edged/pkg/watch/order.go 's/t != plan.TopicDrains || !loaded/true || !loaded/' ./edged/pkg/watch TestDrainEndsInOrder
 broken edged/pkg/watch/order.go 's/return have < snap.Backends/return have < snap.Backends \&\& false/' ./edged/pkg/gossip TestDeltaOfEndedDrain
 broken edged/pkg/quota/requester.go 's/ || (k.message.Stance == stanceOwn .*{/ {/' ./edged/pkg/quota TestNoLastingRefusal
+broken edged/pkg/health/health.go 's/ || c.env.HasStoreNews(now) {/ {/' ./edged/pkg/health TestChecks
+broken edged/cmds/process.go 's/	p.gossip.SendSlowStart(now, b, remaining)//' ./edged/cmds TestSlowStartWithoutStore
+broken edged/pkg/gossip/slowstart.go 's/		if h.heard {/		if m.isAlive(now, h) {/' ./edged/pkg/gossip TestFleetSlowStart
+broken edged/pkg/gossip/slowstart.go 's/ \&\& m.isAlive(now, h) })/ })/' ./edged/pkg/gossip TestStoreNews
 broken edged/pkg/conns/open.go 's/tcp.SetLinger(0)/error(nil)/' ./edged/pkg/conns TestAbandonedSend
 exit $bad
--- a/edged/cmds/process.go
+++ b/edged/cmds/process.go
@@ -16,6 +16,7 @@
 	"rosemarygrade.dev/edged/pkg/conns"
 	"rosemarygrade.dev/edged/pkg/front"
 	"rosemarygrade.dev/edged/pkg/gossip"
+	"rosemarygrade.dev/edged/pkg/health"
 	"rosemarygrade.dev/edged/pkg/memory"
 	"rosemarygrade.dev/edged/pkg/meter"
 	"rosemarygrade.dev/edged/pkg/pick"
@@ -59,6 +60,7 @@
 	pool       *conns.Pool
 	gossip     *gossip.Membership
 	quota      *quota.Service
+	health     *health.Checker
 	proxy      *proxy.Handler
 	front      *front.Server
 	store      plan.Store
@@ -74,6 +76,15 @@
 // IsElectedFor implements pick.Fleet.
 func (p *process) IsElectedFor(b *plan.Backend) bool { return p.gossip.IsElectedFor(time.Now(), b) }
 
+// HasStoreNews implements health.Env.
+func (p *process) HasStoreNews(now time.Time) bool { return p.gossip.HasStoreNews(now) }
+
+// ReportSlowStart implements health.Env.
+func (p *process) ReportSlowStart(now time.Time, b *plan.Backend, remaining time.Duration) {
+	p.table.ReceiveSlowStart(now, b, remaining)
+	p.gossip.SendSlowStart(now, b, remaining)
+}
+
 // Demand implements pick.Fleet. It assumes that all data centres have the same number of callers.
 func (p *process) Demand() map[string]float64 {
 	out := map[string]float64{}
@@ -115,6 +126,7 @@
 	p.meter.SetSource(p.gossipSamples)
 	p.addSeeds(time.Now(), s)
 	p.store = adapt.NewStoreClient(s.StoreAddress, conns.Control, func(string) { p.meter.Add(meter.StoreCalls, 1) })
+	p.health = health.New(p, adapt.HeaderCodec{}, func() { p.meter.Add(meter.HealthChecks, 1) }, f.Layer("gate"))
 	retryBudget := pick.NewRetryBudget(pick.BudgetRule{
 		Window: seconds(s.RepeatWindowSeconds), Ratio: s.RepeatRatio, FreeRetries: s.RepeatSlack,
 	})
@@ -151,6 +163,7 @@
 	g.Go(p.runTicks)
 	g.Go(p.registerHost)
 	g.Every(sweepInterval, p.sweep)
+	g.Go(p.health.Run)
 	g.Go(func(groupCtx context.Context) error {
 		select {
 		case <-ctx.Done():
--- a/edged/pkg/gossip/delta.go
+++ b/edged/pkg/gossip/delta.go
@@ -156,6 +156,12 @@
 // receiveDeltas applies the deltas that follow on what this host has, and stores them to pass them on.
 func (m *Membership) receiveDeltas(now time.Time, from netip.Addr, list []delta) {
 	for _, d := range list {
+		if d.Topic == topicSlowStarts {
+			if err := m.receiveSlowStarts(now, d); err != nil {
+				m.log.Warn("slow starts from a peer ignored: they could not be decoded", "event", "mesh", "from", from, "error", err)
+			}
+			continue
+		}
 		if !slices.Contains(exchangedTopics(), d.Topic) {
 			continue
 		}
--- a/edged/pkg/meter/meter.go
+++ b/edged/pkg/meter/meter.go
@@ -48,6 +48,7 @@
 	QuotaReserve     Counter = "quotaReserve"
 	QuotaRefused     Counter = "quotaRefused"
 	StoreCalls       Counter = "storeCalls"
+	HealthChecks     Counter = "healthChecks"
 	Lookups          Counter = "lookups"
 	ConnsOpened      Counter = "connsOpened"
 	MemoryHeld       Counter = "memoryHeld"
@@ -70,7 +71,7 @@
 	return []Counter{
 		Requests, Served, Rejected, Failed, NoKey, UnknownKey, CallerLeft, Queued, Sends, Repeats, NotRun, SendsLost, FarSends, WarmSends, LeavingResponses, LimitedResponses, PauseResponses,
 		QuotaGranted, QuotaAsked, QuotaLost, QuotaReserve, QuotaRefused,
-		StoreCalls, Lookups, ConnsOpened, MemoryHeld, MemoryRejected, MemoryStalled, CallerConns, CallerConnsEnded, BackendConns,
+		StoreCalls, HealthChecks, Lookups, ConnsOpened, MemoryHeld, MemoryRejected, MemoryStalled, CallerConns, CallerConnsEnded, BackendConns,
 		InFlight, Waiting, Ramping, HeldBack, LiveHosts, Backends, ConfigVersion,
 	}
 }
--- a/lib/pkg/header/header.go
+++ b/lib/pkg/header/header.go
@@ -50,6 +50,8 @@
 	Signed bool
 	// NotRun is true where the backend server did not run the request.
 	NotRun bool
+	// BackendID is the ID of the backend server; only responses to health checks have to carry it.
+	BackendID string
 	// SlowStartRemaining is how much longer the backend server is in slow start.
 	SlowStartRemaining time.Duration
 	Load               Load
--- a/lib/pkg/plan/view.go
+++ b/lib/pkg/plan/view.go
@@ -167,9 +167,14 @@
 // Drained reports whether a data centre is drained.
 func (v *View) Drained(dataCentre string) bool { return v.drained[dataCentre] }
 
-// HasKey reports whether the view holds the backend server with that key, and so in the same incarnation.
-func (v *View) HasKey(key string) bool {
+// ByKey returns the backend server with that key, and so in the same incarnation, or nil.
+func (v *View) ByKey(key string) *Backend {
 	id, _, _ := strings.Cut(key, "/")
-	b := v.backends[id]
-	return b != nil && b.key == key
+	if b := v.backends[id]; b != nil && b.key == key {
+		return b
+	}
+	return nil
 }
+
+// HasKey reports whether the view holds the backend server with that key.
+func (v *View) HasKey(key string) bool { return v.ByKey(key) != nil }
