pick, gossip: hosts that are cut off each for itself share the rate of a slow start

Callers lost requests: of twelve hosts, four were cut off from the store and from all other hosts.

And a host that hears of no other takes itself for the elected one and sends at 0.8 of the rate: a backend server bears two such senders, not one for each host that is cut off.

Fix: an elected host that hears of less than half of the hosts that the system has had uses twice its group's share of them, so all groups together never exceed two senders. Where it may be one of several, its first request waits for a random part of the interval.

--- a/_scripts/breaks.sh
+++ b/_scripts/breaks.sh
@@ -171,5 +171,7 @@
 broken edged/cmds/process.go 's/	p.gossip.SendSlowStart(now, b, remaining)//' ./edged/cmds TestSlowStartWithoutStore
 broken edged/pkg/gossip/slowstart.go 's/		if h.heard {/		if m.isAlive(now, h) {/' ./edged/pkg/gossip TestFleetSlowStart
 broken edged/pkg/gossip/slowstart.go 's/ \&\& m.isAlive(now, h) })/ })/' ./edged/pkg/gossip TestStoreNews
+broken edged/pkg/pick/server.go 's/ \* slowStartRateShare \* share)/ * slowStartRateShare)/' ./edged/pkg/pick TestRampSlowStartBoundOfLoneHosts
+broken edged/pkg/gossip/elect.go 's/return min(1, bearableSenders\*.*/return min(1, bearableSenders*bearableSenders*float64(live.Alive())\/float64(live.Peak()))/' ./edged/pkg/gossip TestSlowStartShare
 broken edged/pkg/conns/open.go 's/tcp.SetLinger(0)/error(nil)/' ./edged/pkg/conns TestAbandonedSend
 exit $bad
--- a/edged/cmds/process.go
+++ b/edged/cmds/process.go
@@ -76,6 +76,9 @@
 // IsElectedFor implements pick.Fleet.
 func (p *process) IsElectedFor(b *plan.Backend) bool { return p.gossip.IsElectedFor(time.Now(), b) }
 
+// SlowStartShare implements pick.Fleet.
+func (p *process) SlowStartShare() float64 { return p.gossip.SlowStartShare(time.Now()) }
+
 // HasStoreNews implements health.Env.
 func (p *process) HasStoreNews(now time.Time) bool { return p.gossip.HasStoreNews(now) }
 
--- a/edged/pkg/gossip/elect.go
+++ b/edged/pkg/gossip/elect.go
@@ -26,6 +26,8 @@
 	// contactsPerDataCentre is how many hosts of a data centre register in the store.
 	contactsPerDataCentre = 3
 	watcherRole           = "watcher"
+	// bearableSenders is how many elected hosts may send to a backend server in slow start at the whole rate.
+	bearableSenders = 2
 	// electionTTL is how long the result of an election is used.
 	electionTTL = 100 * time.Millisecond
 	// steadyReach is how long a host must have reached the store for its peers to conclude that their own outage is local. After an
@@ -200,6 +202,14 @@
 	return elected
 }
 
+// SlowStartShare returns the share of a slow-start rate that the elected host may use: 1 where it hears of at least half of the hosts that
+// the system has had. Groups of hosts that are cut off from each other elect one each, and a backend server bears two that use all of the
+// rate; so a smaller group takes twice its share of the hosts, and all groups together never exceed two.
+func (m *Membership) SlowStartShare(now time.Time) float64 {
+	live := m.LiveHosts(now)
+	return min(1, bearableSenders*float64(live.Alive())/float64(live.Peak()))
+}
+
 func (m *Membership) isElected(now time.Time, b *plan.Backend) bool {
 	proximity := func(dataCentre, region string) int {
 		switch {
--- a/edged/pkg/gossip/gossip_test.go
+++ b/edged/pkg/gossip/gossip_test.go
@@ -25,6 +25,8 @@
 
 func (noFleet) IsElectedFor(*plan.Backend) bool { return false }
 
+func (noFleet) SlowStartShare() float64 { return 1 }
+
 func (noFleet) Hosts() int { return 1 }
 
 func (noFleet) Demand() map[string]float64 { return nil }
@@ -180,6 +182,32 @@
 	})
 }
 
+// TestSlowStartShare guards against groups of hosts that are cut off from each other and together send more than two elected hosts.
+func TestSlowStartShare(t *testing.T) {
+	const size = 12
+	share := func(t *testing.T, group int) float64 {
+		t.Helper()
+		m := newTestMembership(t, 0)
+		for i := 1; i < size; i++ {
+			receiveHeartbeat(t, m, i, start, func(hb *heartbeat) { hb.FleetSize = size })
+		}
+		later := start.Add(time.Minute)
+		for i := 1; i < group; i++ {
+			receiveHeartbeat(t, m, i, later, nil)
+		}
+		return m.SlowStartShare(later)
+	}
+	t.Run("all groups of one size together have at most two whole shares", func(t *testing.T) {
+		for _, group := range []int{1, 2, 3, 4, 6, 12} {
+			assert.Assert(t, share(t, group)*float64(size/group) <= bearableSenders+1e-9, "groups of %d", group)
+		}
+	})
+	t.Run("half of the hosts have a whole share", func(t *testing.T) { assert.Equal(t, share(t, size/2), 1.0) })
+	t.Run("a host without peers has a whole share", func(t *testing.T) {
+		assert.Equal(t, newTestMembership(t, 0).SlowStartShare(start), 1.0)
+	})
+}
+
 // TestOddEntriesOfPeers guards against an entry that a peer of another version accepts and that names no backend server to use.
 func TestOddEntriesOfPeers(t *testing.T) {
 	good := plan.BackendSpec{ID: "b", Service: "alpha", Address: "127.0.0.1:1", DataCentre: "n", Slots: 2}
--- a/edged/pkg/pick/backpressure.go
+++ b/edged/pkg/pick/backpressure.go
@@ -76,13 +76,28 @@
 // ReceiveSlowStart records that a backend server says in a response how much longer it is in slow start. Its entry may not say so yet.
 // Responses may arrive in another order than they were written, so the latest end counts; one without a time left says nothing.
 func (t *Table) ReceiveSlowStart(now time.Time, b *plan.Backend, remaining time.Duration) {
+	if remaining <= 0 {
+		return
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.server(b)
-	if until := now.Add(remaining); remaining > 0 && until.After(s.slowStartUntil) {
+	if !s.inSlowStart(now) {
+		t.delayFirstSend(now, s)
+	}
+	if until := now.Add(remaining); until.After(s.slowStartUntil) {
 		s.slowStartUntil = until
 	}
 }
 
+// delayFirstSend delays the first request of a slow start by a random part of the interval if hosts that this one does not hear of may be
+// elected too: they learn of the slow start at about the same time, and must not all begin at once.
+func (t *Table) delayFirstSend(now time.Time, s *server) {
+	if t.view == nil || t.view.Config() == nil || t.fleet.SlowStartShare() >= 1 {
+		return
+	}
+	s.nextSlowStartSend = now.Add(time.Duration(t.random.Float64() * float64(t.slowStartInterval(t.view, s.backend))))
+}
+
 // division returns how limits of all hosts together are divided between them.
 func (t *Table) division() division { return division{hosts: t.fleet.Hosts(), random: t.random} }
--- a/edged/pkg/pick/pick.go
+++ b/edged/pkg/pick/pick.go
@@ -122,6 +122,9 @@
 type Fleet interface {
 	// IsElectedFor reports whether this host is the one that sends to a backend server during its slow start.
 	IsElectedFor(b *plan.Backend) bool
+	// SlowStartShare returns the share of a slow-start rate that this host may use where it is elected. It is below 1 where hosts that this
+	// one does not hear of may take themselves for elected too.
+	SlowStartShare() float64
 	// Demand returns each region's share of all requests, 0 to 1.
 	Demand() map[string]float64
 	// Hosts returns the number of hosts of the system, this one included, between which limits of all hosts together are divided.
@@ -353,7 +356,7 @@
 	s.backpressure.recordSend(now, t.division())
 	svc.recordSend(now)
 	if s.inSlowStart(now) {
-		s.nextSlowStartSend = now.Add(slowStartInterval(v, s.backend))
+		s.nextSlowStartSend = now.Add(t.slowStartInterval(v, s.backend))
 	}
 }
 
--- a/edged/pkg/pick/pick_test.go
+++ b/edged/pkg/pick/pick_test.go
@@ -1,6 +1,7 @@
 package pick
 
 import (
+	"cmp"
 	"fmt"
 	"testing"
 	"time"
@@ -15,10 +16,14 @@
 type testFleet struct {
 	elected bool
 	hosts   int
+	// share is that of a slow-start rate; 0 means all of it.
+	share float64
 }
 
 func (f testFleet) IsElectedFor(*plan.Backend) bool { return f.elected }
 
+func (f testFleet) SlowStartShare() float64 { return cmp.Or(f.share, 1) }
+
 func (f testFleet) Hosts() int { return max(1, f.hosts) }
 
 func (testFleet) Demand() map[string]float64 { return map[string]float64{"north": 0.5, "south": 0.5} }
--- a/edged/pkg/pick/ramp.go
+++ b/edged/pkg/pick/ramp.go
@@ -355,7 +355,7 @@
 
 // bearableInterval returns the shortest time between requests of one host in slow start.
 func (t *Table) bearableInterval(v *plan.View, b *plan.Backend) time.Duration {
-	interval := slowStartInterval(v, b)
+	interval := t.slowStartInterval(v, b)
 	svc := v.Config().Service(b.Service())
 	if svc == nil || svc.SlowStartRate <= 0 {
 		return interval
--- a/edged/pkg/pick/ramp_test.go
+++ b/edged/pkg/pick/ramp_test.go
@@ -249,6 +249,36 @@
 	assert.Assert(t, float64(n) >= 1.4*rate, "%d", n)
 }
 
+// TestRampSlowStartBoundOfLoneHosts guards against hosts that are cut off each for itself, all elected by their own view, and together send
+// more than the backend server bears.
+func TestRampSlowStartBoundOfLoneHosts(t *testing.T) {
+	const hosts, step = 12, 5 * time.Millisecond
+	for _, rate := range []float64{2.7, 15} {
+		t.Run(fmt.Sprintf("rate %v", rate), func(t *testing.T) {
+			v := rampView(24, rate, nil)
+			var clients []*rampClient
+			for i := range hosts {
+				c := newRampClient(v, testFleet{elected: true, hosts: hosts, share: 2.0 / hosts})
+				c.table.random = rand.New(rand.NewPCG(1, uint64(i)))
+				c.table.DispatchAll(start, v)
+				c.table.ReceiveSlowStart(start, v.Usable("alpha")[0], time.Minute)
+				clients = append(clients, c)
+			}
+			var sends []time.Time
+			for at := time.Duration(0); at < 20*time.Second; at += step {
+				for _, c := range clients {
+					if q, sent := c.send(start.Add(at), uint64(at)); sent {
+						sends = append(sends, start.Add(at))
+						c.done(start.Add(at), q, time.Millisecond, Answered)
+					}
+				}
+			}
+			assert.Assert(t, float64(maxInSecond(sends)) <= 1.5*rate+5, "%d", maxInSecond(sends))
+			assert.Assert(t, float64(len(sends)) >= 20*rate, "%d sends in 20 s", len(sends))
+		})
+	}
+}
+
 // TestRampSharedRate guards against many hosts that send at the same moment when a slow start, a drain or an ejection ends: a single start
 // in a large fleet under full load.
 func TestRampSharedRate(t *testing.T) {
--- a/edged/pkg/pick/server.go
+++ b/edged/pkg/pick/server.go
@@ -37,6 +37,8 @@
 	maxWarmObjects = 256
 	// slowStartRateShare is the share of a backend server's slow-start rate that its elected host uses.
 	slowStartRateShare = 0.8
+	// minSlowStartShare bounds the share of a host that hears of very few others.
+	minSlowStartShare = 0.001
 )
 
 // mean is an exponentially weighted mean of durations. While there are few samples it is their arithmetic mean.
@@ -187,10 +189,12 @@
 	}
 }
 
-func slowStartInterval(v *plan.View, b *plan.Backend) time.Duration {
+// slowStartInterval returns the time between requests of this host to a backend server in slow start, if it is elected.
+func (t *Table) slowStartInterval(v *plan.View, b *plan.Backend) time.Duration {
+	share := max(minSlowStartShare, t.fleet.SlowStartShare())
 	svc := v.Config().Service(b.Service())
 	if svc == nil || svc.SlowStartRate <= 0 {
-		return time.Second
+		return secondsOf(1 / share)
 	}
-	return time.Duration(float64(time.Second) / (svc.SlowStartRate * slowStartRateShare))
+	return secondsOf(1 / (svc.SlowStartRate * slowStartRateShare * share))
 }
--- a/edged/pkg/proxy/proxy_test.go
+++ b/edged/pkg/proxy/proxy_test.go
@@ -55,6 +55,8 @@
 
 func (env) IsElectedFor(*plan.Backend) bool { return false }
 
+func (env) SlowStartShare() float64 { return 1 }
+
 func (env) Demand() map[string]float64 { return nil }
 
 // newProxy starts a server with a handler in front of a backend server that answers each request with respond.
--- a/simul/pkg/engine/engine.go
+++ b/simul/pkg/engine/engine.go
@@ -130,6 +130,9 @@
 // IsElectedFor implements pick.Fleet.
 func (sim *Simulation) IsElectedFor(*plan.Backend) bool { return true }
 
+// SlowStartShare implements pick.Fleet.
+func (sim *Simulation) SlowStartShare() float64 { return 1 }
+
 // Hosts implements pick.Fleet.
 func (sim *Simulation) Hosts() int { return len(sim.hosts) }
 
