conns: an upload does not end because its backend server does not read for a while

Cause: TCP_USER_TIMEOUT, by which a host notices that a machine is lost, also ends a connection whose peer keeps its receive window closed for 2 s, though it acknowledges each probe.

Fix: while a long body is sent, the host reads the state of the connection every 0.25 s and ends it when bytes or probes have not been acknowledged for 2 s. The system's timeout is out of force meanwhile.

Evidence: TestSlowReader failed in its three forms ('connection timed out'); TestLostMachine, whose peers drop all packets by a socket filter, passed before and after, and fails if nothing is ended.

--- a/_scripts/breaks.sh
+++ b/_scripts/breaks.sh
@@ -173,5 +173,8 @@
 broken edged/pkg/gossip/slowstart.go 's/ \&\& m.isAlive(now, h) })/ })/' ./edged/pkg/gossip TestStoreNews
 broken edged/pkg/pick/server.go 's/ \* slowStartRateShare \* share)/ * slowStartRateShare)/' ./edged/pkg/pick TestRampSlowStartBoundOfLoneHosts
 broken edged/pkg/gossip/elect.go 's/return min(1, bearableSenders\*.*/return min(1, bearableSenders*bearableSenders*float64(live.Alive())\/float64(live.Peak()))/' ./edged/pkg/gossip TestSlowStartShare
+broken edged/pkg/conns/progress.go 's/p.relaxed = setUnackedTimeout.*/p.relaxed = true/' ./edged/pkg/conns TestSlowReader
+broken edged/pkg/conns/progress.go 's/} else if p.silence.isLost(time.Now(), f) {/} else if p.silence.isLost(time.Now(), f) \&\& false {/' ./edged/pkg/conns TestLostMachine
+broken edged/pkg/conns/progress.go 's/ || f.sinceAck <= f.sinceSent) {/) {/' ./edged/pkg/conns TestSilence
 broken edged/pkg/conns/open.go 's/tcp.SetLinger(0)/error(nil)/' ./edged/pkg/conns TestAbandonedSend
 exit $bad
--- a/edged/pkg/conns/conns.go
+++ b/edged/pkg/conns/conns.go
@@ -158,7 +158,12 @@
 // exchange sends a request on a connection and reads the response.
 func (p *Pool) exchange(ctx context.Context, c *conn, req *Request) (*Response, error) {
 	stop := context.AfterFunc(ctx, c.abort)
+	endSupervision := func() {}
+	if req.Body.Len() > maxInlineBytes {
+		endSupervision = c.superviseProgress()
+	}
 	fail := func(err error) (*Response, error) {
+		endSupervision()
 		stop()
 		_ = c.Close()
 		return nil, err
@@ -183,6 +188,7 @@
 		return fail(err)
 	}
 	out.end = func(clean bool) {
+		endSupervision()
 		if stop() && clean && !resp.Close && c.reader.Buffered() == 0 && sent.isComplete() {
 			p.putIdle(c, keepAliveOf(resp.Header), time.Now())
 			return
--- a/edged/pkg/conns/socket.go
+++ b/edged/pkg/conns/socket.go
@@ -19,9 +19,14 @@
 
 // Control sets unackedTimeout on a socket before it connects or listens.
 func Control(_, _ string, c syscall.RawConn) error {
+	return setUnackedTimeout(c, unackedTimeout)
+}
+
+// setUnackedTimeout sets how long sent bytes may stay unacknowledged; 0 means the system's default of several minutes.
+func setUnackedTimeout(c syscall.RawConn, timeout time.Duration) error {
 	var opt error
 	err := c.Control(func(fd uintptr) {
-		opt = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unackedTimeout.Milliseconds()))
+		opt = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(timeout.Milliseconds()))
 	})
 	if err != nil {
 		return err
