quota: a host doesn't lend its share to a second coordinator while the first may use it

An organisation got 263 requests in 5 s where its quota allows 262, while hosts disagreed for 3.3 s on whether its coordinator is alive (TestWindow, known red since 2026-12-06).

Cause: a new coordinator grants from the shares that hosts lend to it. The former one, if it is alive, leaves out the shares of hosts that lent theirs to it and went away, but not of hosts that had no demand for the organisation before: their shares were granted twice.

Fix: for 6 s after a host seems to have failed, a host lends its share only if it has lent it within that time, so that the former coordinator leaves it out.

--- a/_scripts/breaks.sh
+++ b/_scripts/breaks.sh
@@ -176,5 +176,6 @@
 broken edged/pkg/conns/progress.go 's/p.relaxed = setUnackedTimeout.*/p.relaxed = true/' ./edged/pkg/conns TestSlowReader
 broken edged/pkg/conns/progress.go 's/} else if p.silence.isLost(time.Now(), f) {/} else if p.silence.isLost(time.Now(), f) \&\& false {/' ./edged/pkg/conns TestLostMachine
 broken edged/pkg/conns/progress.go 's/ || f.sinceAck <= f.sinceSent) {/) {/' ./edged/pkg/conns TestSilence
+broken edged/pkg/quota/requester.go 's/case a.lent \&\& n.mayLend(now, a):/case a.lent:/' ./edged/pkg/quota TestWindow
 broken edged/pkg/conns/open.go 's/tcp.SetLinger(0)/error(nil)/' ./edged/pkg/conns TestAbandonedSend
 exit $bad
--- a/edged/pkg/quota/node.go
+++ b/edged/pkg/quota/node.go
@@ -45,6 +45,8 @@
 	view View
 	// viewAt is when the view was set, peakAt when its Peak changed, settledAt when this host began to trust it; 0 if it does not.
 	viewAt, peakAt, settledAt time.Duration
+	// lostAt is when the number of hosts that are alive last became lower; 0 means never.
+	lostAt time.Duration
 	// members maps each data centre to its hosts, this one included; elected caches the results of elect.
 	members    map[string][]netip.Addr
 	elected    map[string]elected
--- a/edged/pkg/quota/quota_test.go
+++ b/edged/pkg/quota/quota_test.go
@@ -123,6 +123,10 @@
 		s := drawScenario(t)
 		play(s, 11, 0).assertBounds(t)
 	})
+	t.Run("hosts that ask a second coordinator first", func(t *testing.T) {
+		s := scenario{fault: faultDisagree, limit: Limit{40, 20}, factor: 3, duration: 3284 * time.Millisecond}
+		play(s, 11, 0).assertBounds(t)
+	})
 	for size, runs := range map[int]int{83: 4, 300: 1} {
 		t.Run(fmt.Sprint(size), func(t *testing.T) {
 			for i := range runs {
--- a/edged/pkg/quota/requester.go
+++ b/edged/pkg/quota/requester.go
@@ -232,7 +232,7 @@
 
 // transmit sends the outstanding request, or answers it if this host is the coordinator.
 func (n *Node) transmit(now time.Duration, a *account) {
-	a.ask.message.Stance = a.stance(now, a.ask.to)
+	a.ask.message.Stance = n.stance(now, a, a.ask.to)
 	if a.ask.to != n.self {
 		n.out = append(n.out, outgoing{to: a.ask.to, message: a.ask.message})
 		return
@@ -243,11 +243,11 @@
 
 // stance returns what to tell a coordinator of this host's share. A share that is lent to another coordinator is not available to this
 // one before that has ended.
-func (a *account) stance(now time.Duration, to netip.Addr) stance {
+func (n *Node) stance(now time.Duration, a *account, to netip.Addr) stance {
 	switch {
 	case a.keepsShare(now, to):
 		return stanceOwn
-	case a.lent:
+	case a.lent && n.mayLend(now, a):
 		a.lentTo, a.lentUntil = to, now+leaseTime+leaseMargin
 		return stanceLent
 	default:
@@ -256,6 +256,13 @@
 	}
 }
 
+// mayLend reports whether this host may lend its share to a coordinator. For noticeTime after a host seems to have failed, there may be
+// two: the former one, if it is alive, uses the shares of hosts that have not lent theirs to it lately.
+func (n *Node) mayLend(now time.Duration, a *account) bool {
+	withheld := a.lentTo.IsValid() && now < a.lentUntil+noticeTime-leaseTime-leaseMargin
+	return withheld || n.lostAt == 0 || now-n.lostAt >= noticeTime
+}
+
 // keepsShare reports whether a coordinator may not use this host's share: the host uses it itself, or has lent it to another one.
 func (a *account) keepsShare(now time.Duration, to netip.Addr) bool {
 	return a.lost || (to != a.lentTo && now < a.lentUntil)
--- a/edged/pkg/quota/view.go
+++ b/edged/pkg/quota/view.go
@@ -77,6 +77,9 @@
 	if v.Peak != n.view.Peak {
 		n.peakAt = now
 	}
+	if v.Alive < n.view.Alive {
+		n.lostAt = now
+	}
 	if n.settledAt == 0 && ((len(v.Peers) > 0 && now-n.peakAt >= settleTime) || now-n.startedAt >= maxSettleTime) {
 		n.settledAt = now
 	}
