gossip: a slow start far in the past does not overflow

A message of a broken host that names a remaining time of -10^13 ms made a backend server one in slow start for hundreds of years. Callers would have seen it carry next to nothing; no host sends such a time.

Cause: the time was bounded above only, and its conversion to nanoseconds overflowed. It is now at least 0. TestOddSlowStarts failed with the new row before. Also one comment of conns that had to be read twice.

--- a/edged/pkg/conns/progress.go
+++ b/edged/pkg/conns/progress.go
@@ -78,7 +78,7 @@
 
 // flight is what a peer has to acknowledge.
 type flight struct {
-	// unacked means that sent bytes, and probes that probes of its closed window, are not acknowledged.
+	// unacked means that the peer has not acknowledged sent bytes, probes that it has not acknowledged a probe of its closed window.
 	unacked, probes bool
 	// sinceSent and sinceAck are the times since bytes were last sent, or sent again, and since the last acknowledgement arrived.
 	sinceSent, sinceAck time.Duration
--- a/edged/pkg/gossip/slowstart.go
+++ b/edged/pkg/gossip/slowstart.go
@@ -73,7 +73,7 @@
 	v := m.state.View()
 	for _, s := range list {
 		if b := v.ByKey(s.Key); b != nil {
-			m.table.ReceiveSlowStart(now, b, time.Duration(min(s.RemainingMillis, maxSlowStart.Milliseconds()))*time.Millisecond)
+			m.table.ReceiveSlowStart(now, b, time.Duration(min(max(0, s.RemainingMillis), maxSlowStart.Milliseconds()))*time.Millisecond)
 		}
 	}
 	return nil
--- a/edged/pkg/gossip/slowstart_test.go
+++ b/edged/pkg/gossip/slowstart_test.go
@@ -75,7 +75,8 @@
 	h := f.hosts[0]
 	for name, entries := range map[string]string{
 		"no JSON": "{", "another form": `{"key":"b-0/1"}`, "unknown": `[{"key":"x/1","remainingMillis":5000}]`, "past": `[{"key":"b-0/1","remainingMillis":-5000}]`,
-		"another incarnation": `[{"key":"b-0/2","remainingMillis":5000}]`,
+		"so far in the past that it overflows": `[{"key":"b-0/1","remainingMillis":-10000000000000}]`,
+		"another incarnation":                  `[{"key":"b-0/2","remainingMillis":5000}]`,
 	} {
 		t.Run(name, func(t *testing.T) {
 			h.m.receiveDeltas(f.now, fleetIP(1), []delta{{Topic: topicSlowStarts, Entries: []byte(entries)}})
